--- /dev/null
+++ b/crates/query/src/lib.rs
@@ -0,0 +1,1 @@
+//! Not written yet.
--- /dev/null
+++ b/crates/suspect/src/sketch.rs
@@ -0,0 +1,145 @@
+//! SpreadSketch, weighed against the exact table.
+//!
+//! After Tang, Huang and Lee, "SpreadSketch: Toward Invertible and Network-Wide Detection of
+//! Superspreaders" (INFOCOM 2020). Each bucket of a few rows holds a bitmap that estimates the
+//! distinct servers of all the sources hashed to it, the source with the greatest level, and that
+//! level. Sketches of several instances are merged bucket by bucket. Memory is fixed, whatever the
+//! number of sources; the price is an estimate in place of a count.
+//!
+//! [`docs/notes/suspects.md`](../../../docs/notes/suspects.md) holds the comparison. The system uses
+//! [`crate::Table`].
+
+use wire::Fingerprint;
+
+/// Bits of one component of a bucket's bitmap.
+const BITS: u32 = 32;
+/// Components of a bucket's bitmap; each takes half of the pairs that reach the one before.
+const COMPONENTS: usize = 4;
+
+/// A sketch of which requests were struck by many distinct servers.
+#[derive(Clone, Debug)]
+pub struct Sketch {
+    rows: usize,
+    width: usize,
+    buckets: Vec<Bucket>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Bucket {
+    bitmap: [u32; COMPONENTS],
+    source: Fingerprint,
+    level: u8,
+}
+
+impl Sketch {
+    /// Returns an empty sketch.
+    pub fn new(rows: usize, width: usize) -> Sketch {
+        Sketch {
+            rows: rows.max(1),
+            width: width.max(1),
+            buckets: vec![Bucket::default(); rows.max(1) * width.max(1)],
+        }
+    }
+
+    /// Adds a pair of source and destination.
+    pub fn add(&mut self, source: Fingerprint, destination: u64) {
+        let pair = hash(source ^ destination.rotate_left(32), 0);
+        let level = pair.leading_zeros().min(255) as u8;
+        for row in 0..self.rows {
+            let index = self.index(row, source);
+            self.buckets[index].add(source, pair, level);
+        }
+    }
+
+    /// Merges the sketch of another instance of the same shape.
+    pub fn merge(&mut self, other: &Sketch) {
+        for (own, theirs) in self.buckets.iter_mut().zip(&other.buckets) {
+            for (bits, more) in own.bitmap.iter_mut().zip(theirs.bitmap) {
+                *bits |= more;
+            }
+            if theirs.level > own.level {
+                own.level = theirs.level;
+                own.source = theirs.source;
+            }
+        }
+    }
+
+    /// Returns the estimated number of distinct destinations of a source.
+    pub fn estimate(&self, source: Fingerprint) -> f64 {
+        (0..self.rows)
+            .map(|row| self.buckets[self.index(row, source)].estimate())
+            .fold(f64::INFINITY, f64::min)
+    }
+
+    /// Returns the sources that buckets name, with estimates of at least `least`.
+    pub fn sources(&self, least: f64) -> Vec<Fingerprint> {
+        let mut sources: Vec<Fingerprint> = self
+            .buckets
+            .iter()
+            .filter(|bucket| bucket.level > 0 || bucket.source != 0)
+            .map(|bucket| bucket.source)
+            .filter(|source| self.estimate(*source) >= least)
+            .collect();
+        sources.sort_unstable();
+        sources.dedup();
+        sources
+    }
+
+    /// Returns the size in memory and on the wire, in bytes.
+    pub fn bytes(&self) -> usize {
+        let bucket = COMPONENTS * (BITS as usize / 8) + 8 + 1;
+        self.buckets.len() * bucket
+    }
+
+    fn index(&self, row: usize, source: Fingerprint) -> usize {
+        let column = hash(source, row as u64 + 1) as usize % self.width;
+        row * self.width + column
+    }
+}
+
+impl Bucket {
+    fn add(&mut self, source: Fingerprint, pair: u64, level: u8) {
+        let component = (level as usize).min(COMPONENTS - 1);
+        let bit = (pair & u64::from(BITS - 1)) as u32;
+        self.bitmap[component] |= 1 << bit;
+        if level >= self.level {
+            self.level = level;
+            self.source = source;
+        }
+    }
+
+    /// Estimates each component by linear counting; they count disjoint shares of the pairs.
+    fn estimate(&self) -> f64 {
+        self.bitmap
+            .iter()
+            .map(|bits| {
+                let zeros = f64::from(bits.count_zeros()).max(0.5);
+                f64::from(BITS) * (f64::from(BITS) / zeros).ln()
+            })
+            .sum()
+    }
+}
+
+fn hash(value: u64, seed: u64) -> u64 {
+    xxhash_rust::xxh3::xxh3_64_with_seed(&value.to_le_bytes(), seed)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn merged_sketches_name_the_superspreader() {
+        let mut first = Sketch::new(3, 256);
+        let mut second = Sketch::new(3, 256);
+        for destination in 0..40 {
+            first.add(7, destination);
+            second.add(7, destination + 40);
+            first.add(1_000 + destination, 1);
+        }
+        first.merge(&second);
+        let estimate = first.estimate(7);
+        assert!((40.0..140.0).contains(&estimate), "{estimate}");
+        assert_eq!(first.sources(30.0), vec![7]);
+    }
+}
--- /dev/null
+++ b/crates/wire/src/admission.rs
@@ -0,0 +1,147 @@
+//! Asking for a place on a backend server, granting it, reporting its use.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::AttemptId;
+use crate::BootId;
+use crate::Name;
+
+/// Most prefix hashes in an ask.
+pub const PREFIXES_MAX: usize = 8;
+/// Most backend servers that an ask avoids.
+pub const AVOID_MAX: usize = 4;
+
+/// Asks the home of a pool for a place on one of its backend servers.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Ask {
+    /// The attempt that would run there.
+    pub attempt: AttemptId,
+    /// The pool.
+    pub pool: Name,
+    /// Data centre of the home that is asked.
+    pub data_centre: Name,
+    /// What is to run.
+    pub work: Work,
+    /// Backend servers that already failed this request.
+    pub avoid: Vec<Name>,
+    /// Whether the request ran on a backend server when it crashed.
+    pub suspect: bool,
+    /// Longest wait, in milliseconds. Zero asks for a place at once or not at all.
+    pub wait_ms: u32,
+}
+
+/// What one attempt brings to a backend server.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Work {
+    /// The organisation it is for.
+    pub organisation: Name,
+    /// The route, under which output lengths are learnt.
+    pub route: Name,
+    /// Urgency, zero first.
+    pub class: u8,
+    /// Tokens of the prompt.
+    pub prompt: u32,
+    /// Tokens already delivered to the caller by earlier attempts.
+    pub delivered: u32,
+    /// Expected tokens of output, from the sender's own history.
+    pub hint: u32,
+    /// Hashes of the prompt's prefixes, longest last.
+    pub prefixes: Vec<u64>,
+}
+
+/// Gives an attempt a place.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Grant {
+    /// The attempt that asked.
+    pub attempt: AttemptId,
+    /// The backend server.
+    pub server: Name,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Its life, as far as the home knows it.
+    pub boot: BootId,
+    /// Priority for the engine's own scheduler: the greater, the later it is preempted.
+    pub priority: u8,
+    /// Age of the grant when this frame was sent, in milliseconds.
+    pub age_ms: u32,
+}
+
+/// Why no place is given.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub enum Denial {
+    /// The wait would be longer than the ask allows.
+    Full,
+    /// The organisation has all the places that it may have.
+    Limited,
+    /// No backend server may take work.
+    NoServer,
+    /// The home has just started and does not know what runs.
+    Learning,
+}
+
+/// Tells a home what a holder runs.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Report {
+    /// The pool.
+    pub pool: Name,
+    /// Number of the report among all of this holder for this pool.
+    pub seq: u64,
+    /// Whether all that runs is listed. What is not, does not run.
+    pub full: bool,
+    /// What runs, or what has changed.
+    pub items: Vec<Item>,
+}
+
+/// One attempt in a report.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Item {
+    /// It was dispatched, or still runs.
+    Running {
+        /// The attempt.
+        attempt: AttemptId,
+        /// The backend server.
+        server: Name,
+        /// What it brings.
+        work: Work,
+        /// Tokens generated so far.
+        generated: u32,
+    },
+    /// It has generated more tokens.
+    Progress {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Tokens generated so far.
+        generated: u32,
+    },
+    /// It has ended.
+    Ended {
+        /// The attempt.
+        attempt: AttemptId,
+        /// How.
+        end: End,
+        /// Tokens generated in all.
+        generated: u32,
+        /// Time from dispatch to the first token, in milliseconds. Zero if there was none.
+        first_token_ms: u32,
+    },
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub enum End {
+    /// The answer is whole.
+    Complete,
+    /// The caller went away or the holder gave it up.
+    Cancelled,
+    /// The backend server refused it without running it.
+    Refused,
+    /// The backend server could not be reached at all.
+    Unreachable,
+    /// The backend server lost it while it ran.
+    Crashed,
+    /// The grant was not used.
+    Unused,
+}
