--- /dev/null
+++ b/crates/admit/src/cell.rs
@@ -0,0 +1,834 @@
+//! The state machine of a home.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use clock::Time;
+use conf::Pool;
+use conf::Service;
+use length::Estimator;
+use route::prefix;
+use wire::AttemptId;
+use wire::InstanceId;
+use wire::Name;
+use wire::admission::Ask;
+use wire::admission::Denial;
+use wire::admission::End;
+use wire::admission::Grant;
+use wire::admission::Item;
+use wire::admission::Report;
+use wire::admission::Work;
+
+use crate::memory;
+use crate::memory::Use;
+use crate::queue::Queue;
+use crate::queue::Waiting;
+use crate::server::Listing;
+use crate::server::Load;
+use crate::server::Server;
+
+/// Time for which a grant that nobody has reported as used is kept.
+pub const GRANT_LIFETIME: Duration = Duration::from_millis(1_500);
+/// Time after which a queued ask is forgotten unless it is repeated.
+pub const ASK_SILENCE: Duration = Duration::from_millis(2_500);
+/// Time for which the work of a holder that died counts as running.
+const ORPHAN_TIME: Duration = Duration::from_secs(2);
+/// Share of the like generations whose length the prediction covers.
+const PREDICTED_SHARE: f64 = 0.75;
+/// Time over which the rate of service is measured.
+const RATE_TIME: Duration = Duration::from_secs(5);
+/// Difference in utilisation below which a prefix in the cache decides.
+const AFFINITY_SLACK: f64 = 0.15;
+/// Least and greatest time that a denied holder is told to wait.
+const RETRY_MIN: Duration = Duration::from_millis(200);
+/// Greatest time that a denied holder is told to wait.
+const RETRY_MAX: Duration = Duration::from_secs(10);
+/// Denied asks that are remembered, so that a repeated one gets the same answer.
+const DENIED_MAX: usize = 1_024;
+
+/// The home's answer to an ask.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Verdict {
+    /// A place.
+    Grant(Grant),
+    /// It waits.
+    Queued {
+        /// Expected wait.
+        wait: Duration,
+    },
+    /// No place.
+    Deny {
+        /// Why.
+        denial: Denial,
+        /// When asking again makes sense.
+        retry: Duration,
+    },
+}
+
+/// An answer to be sent to a holder.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Reply {
+    /// The holder.
+    pub holder: InstanceId,
+    /// Its attempt.
+    pub attempt: AttemptId,
+    /// The answer.
+    pub verdict: Verdict,
+}
+
+/// What an organisation may have of a cell.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Share {
+    /// Its weight against the others.
+    pub weight: f64,
+    /// Most requests running at once. Zero means no limit.
+    pub limit: u32,
+}
+
+/// One pool in one data centre, as its home sees it.
+#[derive(Debug)]
+pub struct Cell {
+    pool: Pool,
+    servers: BTreeMap<Name, Server>,
+    placed: BTreeMap<AttemptId, Placed>,
+    queue: Queue,
+    lengths: Estimator,
+    prefixes: prefix::Index,
+    shares: BTreeMap<Name, Share>,
+    learning_until: Time,
+    majority: bool,
+    gone: BTreeMap<InstanceId, Time>,
+    served_rate: f64,
+    rate_at: Time,
+    denied: BTreeSet<AttemptId>,
+    rng: fastrand::Rng,
+}
+
+/// One attempt that has a place.
+#[derive(Clone, Debug)]
+struct Placed {
+    server: Name,
+    holder: InstanceId,
+    work: Work,
+    suspect: bool,
+    generated: u32,
+    since: Time,
+    confirmed: bool,
+}
+
+impl Cell {
+    /// Returns a cell that knows nothing yet and learns for one grant's lifetime.
+    pub fn new(now: Time, pool: Pool, seed: u64) -> Cell {
+        Cell {
+            pool,
+            servers: BTreeMap::new(),
+            placed: BTreeMap::new(),
+            queue: Queue::default(),
+            lengths: Estimator::default(),
+            prefixes: prefix::Index::default(),
+            shares: BTreeMap::new(),
+            learning_until: now + GRANT_LIFETIME,
+            majority: true,
+            gone: BTreeMap::new(),
+            served_rate: 0.0,
+            rate_at: now,
+            denied: BTreeSet::new(),
+            rng: fastrand::Rng::with_seed(seed),
+        }
+    }
+
+    /// Takes the pool's configuration and its servers as the platform lists them.
+    pub fn configure(&mut self, now: Time, pool: &Pool, listings: &[Listing]) {
+        self.pool = pool.clone();
+        for listing in listings {
+            let server = self
+                .servers
+                .entry(listing.name.clone())
+                .or_insert_with(|| Server::new(now, listing.clone(), pool));
+            server.listing = listing.clone();
+        }
+        let listed = |name: &Name| listings.iter().any(|listing| listing.name == *name);
+        let gone: Vec<Name> = self.servers.keys().filter(|n| !listed(n)).cloned().collect();
+        for name in gone {
+            self.servers.remove(&name);
+            self.prefixes.forget(&name);
+        }
+    }
+
+    /// Says whether this home sees most of its data centre's instances.
+    pub fn set_majority(&mut self, majority: bool) {
+        self.majority = majority;
+    }
+
+    /// Returns the servers, for reports.
+    pub fn servers(&self) -> impl Iterator<Item = &Server> {
+        self.servers.values()
+    }
+
+    /// Returns how many attempts have a place on a server.
+    pub fn count(&self, server: &str) -> usize {
+        self.placed.values().filter(|p| p.server == server).count()
+    }
+
+    /// Returns how many asks wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Takes an ask, or a repetition of one.
+    pub fn ask(&mut self, now: Time, holder: InstanceId, ask: Ask, share: Share) -> Vec<Reply> {
+        let attempt = ask.attempt;
+        let organisation = ask.work.organisation.clone();
+        self.shares.insert(organisation.clone(), share);
+        let answer = |verdict| {
+            vec![Reply {
+                holder,
+                attempt,
+                verdict,
+            }]
+        };
+        if let Some(grant) = self.repeat_grant(now, attempt) {
+            return answer(Verdict::Grant(grant));
+        }
+        if self.denied.contains(&attempt) {
+            return answer(self.denial(Denial::Full, RETRY_MIN));
+        }
+        let expected = self.expected_wait(&ask);
+        if self.queue.contains(attempt) {
+            self.queue.refresh(attempt, now + ASK_SILENCE);
+            return answer(Verdict::Queued { wait: expected });
+        }
+        if !self.servers.values().any(|server| server.is_open(now)) {
+            let retry = RETRY_MIN;
+            return answer(self.deny(attempt, Denial::NoServer, retry));
+        }
+        let patience = Duration::from_millis(u64::from(ask.wait_ms));
+        let waiting = Waiting {
+            holder,
+            cost: self.cost(&ask.work),
+            weight: share.weight,
+            deadline: now + patience,
+            silent_until: now + ASK_SILENCE,
+            ask,
+        };
+        let at_once = self.queue.is_empty() || patience.is_zero();
+        if at_once && let Some(grant) = self.place(now, &waiting) {
+            return answer(Verdict::Grant(grant));
+        }
+        if patience.is_zero() {
+            return answer(self.deny(attempt, self.reason(now, &organisation), expected));
+        }
+        if expected > patience || !self.queue.push(waiting) {
+            return answer(self.deny(attempt, self.reason(now, &organisation), expected));
+        }
+        let replies = self.serve(now);
+        if replies.iter().any(|reply| reply.attempt == attempt) {
+            return replies;
+        }
+        let mut all = answer(Verdict::Queued { wait: expected });
+        all.extend(replies);
+        all
+    }
+
+    /// Takes an ask back, or a grant that was not used.
+    pub fn withdraw(&mut self, now: Time, attempt: AttemptId) -> Vec<Reply> {
+        self.queue.remove(attempt);
+        if self.placed.get(&attempt).is_some_and(|placed| !placed.confirmed) {
+            self.placed.remove(&attempt);
+        }
+        self.serve(now)
+    }
+
+    /// Takes out all asks that wait, for another home.
+    pub fn take_waiting(&mut self) -> Vec<(InstanceId, AttemptId)> {
+        let waiting = self.queue.drain();
+        waiting.into_iter().map(|one| (one.holder, one.ask.attempt)).collect()
+    }
+
+    /// Takes a holder's report. Returns whether all attempts in it are known.
+    pub fn report(&mut self, now: Time, holder: InstanceId, report: &Report) -> bool {
+        let mut known = true;
+        for item in &report.items {
+            known &= self.take_item(now, holder, item);
+        }
+        if report.full {
+            self.drop_unlisted(now, holder, report);
+        }
+        known
+    }
+
+    /// Takes a server's report.
+    pub fn load(&mut self, now: Time, name: &str, load: Load) {
+        let Some(server) = self.servers.get_mut(name) else {
+            return;
+        };
+        let reborn = server.report(now, load, &self.pool);
+        if reborn {
+            // What the earlier life ran is gone, whatever its holders have not told yet.
+            self.prefixes.forget(name);
+            self.placed
+                .retain(|_, placed| placed.server != name || !placed.confirmed);
+        }
+    }
+
+    /// Takes a server's cache events.
+    pub fn cache(&mut self, name: &Name, boot: u64, first: u64, events: &[prefix::Event]) {
+        self.prefixes.events(name, boot, first, events);
+    }
+
+    /// Notes that a server is about to go.
+    pub fn leaving(&mut self, name: &str) {
+        if let Some(server) = self.servers.get_mut(name) {
+            server.leave();
+        }
+    }
+
+    /// Notes that a holder is dead.
+    pub fn holder_gone(&mut self, now: Time, holder: InstanceId) {
+        self.gone.entry(holder).or_insert(now);
+    }
+
+    /// Lets grants and asks expire and serves who waits.
+    pub fn tick(&mut self, now: Time) -> Vec<Reply> {
+        self.expire_grants(now);
+        let mut replies: Vec<Reply> = Vec::new();
+        if !self.servers.values().any(|server| server.is_open(now)) {
+            replies.extend(self.turn_away());
+        }
+        let late = self.queue.expire(now);
+        for waiting in late {
+            let retry = self.expected_wait(&waiting.ask);
+            replies.push(Reply {
+                holder: waiting.holder,
+                attempt: waiting.ask.attempt,
+                verdict: self.deny(waiting.ask.attempt, Denial::Full, retry),
+            });
+        }
+        replies.extend(self.serve(now));
+        replies
+    }
+
+    /// Returns when [`Cell::tick`] is next due.
+    pub fn next_wake(&self) -> Option<Time> {
+        let grants = self
+            .placed
+            .values()
+            .filter(|placed| !placed.confirmed)
+            .map(|placed| placed.since + GRANT_LIFETIME)
+            .min();
+        [grants, self.queue.next_expiry()].into_iter().flatten().min()
+    }
+
+    /// Grants places to who waits, in turn, until nobody who waits can be placed.
+    pub fn serve(&mut self, now: Time) -> Vec<Reply> {
+        let mut replies = Vec::new();
+        while !self.queue.is_empty() {
+            let mut queue = std::mem::take(&mut self.queue);
+            let mut grant = None;
+            let served = queue.take_first(|waiting| {
+                grant = self.place(now, waiting);
+                grant.is_some()
+            });
+            self.queue = queue;
+            let (Some(waiting), Some(grant)) = (served, grant) else {
+                break;
+            };
+            self.note_served(now);
+            replies.push(Reply {
+                holder: waiting.holder,
+                attempt: waiting.ask.attempt,
+                verdict: Verdict::Grant(grant),
+            });
+        }
+        replies
+    }
+
+    /// Denies all who wait: there is no server left that may take work.
+    fn turn_away(&mut self) -> Vec<Reply> {
+        let waiting = self.queue.drain();
+        waiting
+            .into_iter()
+            .map(|one| Reply {
+                holder: one.holder,
+                attempt: one.ask.attempt,
+                verdict: self.deny(one.ask.attempt, Denial::NoServer, RETRY_MIN),
+            })
+            .collect()
+    }
+
+    /// Gives an ask a place, if there is one.
+    fn place(&mut self, now: Time, waiting: &Waiting) -> Option<Grant> {
+        let ask = &waiting.ask;
+        if self.is_limited(&ask.work.organisation) {
+            return None;
+        }
+        let name = self.choose(now, ask)?;
+        let server = &self.servers[&name];
+        let grant = Grant {
+            attempt: ask.attempt,
+            server: name.clone(),
+            address: server.listing.address,
+            boot: server.boot(),
+            priority: priority(&ask.work),
+            age_ms: 0,
+        };
+        let placed = Placed {
+            server: name.clone(),
+            holder: waiting.holder,
+            work: ask.work.clone(),
+            suspect: ask.suspect,
+            generated: 0,
+            since: now,
+            confirmed: false,
+        };
+        self.prefixes.add(&name, &ask.work.prefixes);
+        self.placed.insert(ask.attempt, placed);
+        Some(grant)
+    }
+
+    /// Returns the server that runs an ask best, among those that have room for it.
+    fn choose(&mut self, now: Time, ask: &Ask) -> Option<Name> {
+        let mut open: Vec<(f64, usize, u64, Name)> = Vec::new();
+        for name in self.servers.keys() {
+            if ask.avoid.contains(name) {
+                continue;
+            }
+            if let Some(utilisation) = self.room(now, name, ask) {
+                let matched = self.prefixes.matched(name, &ask.work.prefixes);
+                open.push((utilisation, matched, self.rng.u64(..), name.clone()));
+            }
+        }
+        let least = open.iter().map(|one| one.0).reduce(f64::min)?;
+        open.retain(|one| one.0 <= least + AFFINITY_SLACK);
+        open.sort_by(|a, b| b.1.cmp(&a.1).then(a.0.total_cmp(&b.0)).then(a.2.cmp(&b.2)));
+        open.into_iter().next().map(|one| one.3)
+    }
+
+    /// Returns how full a server would be with an ask, or `None` if it has no room for it.
+    fn room(&self, now: Time, name: &Name, ask: &Ask) -> Option<f64> {
+        let server = &self.servers[name];
+        if !server.is_open(now) || !self.may_judge(now, server) {
+            return None;
+        }
+        let here: Vec<&Placed> = self.placed.values().filter(|p| p.server == *name).collect();
+        if ask.suspect && here.iter().any(|placed| placed.suspect) {
+            return None;
+        }
+        let count = here.len() + self.unexplained(server, &here);
+        let limit = server.limit() as usize;
+        if count >= limit {
+            return None;
+        }
+        let slots = (count + 1) as f64 / f64::from(self.pool.batch);
+        let memory = self.memory_share(server, &here, &ask.work)?;
+        Some(slots.max(memory))
+    }
+
+    /// A home that has just started knows less than the server does, and one that sees only a
+    /// minority may not be the only one. Neither grants on a cold server, nor without a fresh
+    /// report.
+    fn may_judge(&self, now: Time, server: &Server) -> bool {
+        let certain = now >= self.learning_until && self.majority;
+        certain || (server.is_fresh(now) && !server.is_cold(&self.pool))
+    }
+
+    /// Returns how many requests a server reported beyond those that this home knew of by then.
+    fn unexplained(&self, server: &Server, here: &[&Placed]) -> usize {
+        let Some((at, load)) = server.load else {
+            return 0;
+        };
+        let known = here.iter().filter(|placed| placed.since <= at).count();
+        let shown = (load.running + load.waiting) as usize;
+        shown.saturating_sub(known + server.ends_since_report())
+    }
+
+    /// Returns the share of a server's memory at its predicted peak, or `None` if it is too small.
+    fn memory_share(&self, server: &Server, here: &[&Placed], work: &Work) -> Option<f64> {
+        if self.pool.service == Service::Plain {
+            return Some(0.0);
+        }
+        let Some(capacity) = server.capacity(&self.pool) else {
+            return Some(0.0);
+        };
+        let mut uses: Vec<Use> = here.iter().map(|p| self.use_of(&p.work, p.generated)).collect();
+        uses.push(self.use_of(work, 0));
+        let usable = server.margin.usable(capacity);
+        let peak = memory::peak(&mut uses);
+        // A generation that would not fit even alone is still given an empty server.
+        let fits = peak <= usable || here.is_empty();
+        fits.then(|| peak as f64 / usable.max(1) as f64)
+    }
+
+    fn use_of(&self, work: &Work, generated: u32) -> Use {
+        let rest = self.rest(work, generated);
+        Use {
+            held: u64::from(work.prompt) + u64::from(generated),
+            rest: u64::from(rest),
+        }
+    }
+
+    fn rest(&self, work: &Work, generated: u32) -> u32 {
+        let organisation = &work.organisation;
+        self.lengths
+            .rest(&work.route, organisation, generated, PREDICTED_SHARE, work.hint)
+    }
+
+    fn cost(&self, work: &Work) -> f64 {
+        f64::from(self.rest(work, 0)) + f64::from(work.prompt) / 8.0
+    }
+
+    fn is_limited(&self, organisation: &Name) -> bool {
+        let limit = self.shares.get(organisation).map_or(0, |share| share.limit);
+        let count = || {
+            self.placed
+                .values()
+                .filter(|p| p.work.organisation == *organisation)
+                .count()
+        };
+        limit > 0 && count() >= limit as usize
+    }
+
+    fn reason(&self, now: Time, organisation: &Name) -> Denial {
+        if self.is_limited(organisation) {
+            Denial::Limited
+        } else if now < self.learning_until {
+            Denial::Learning
+        } else {
+            Denial::Full
+        }
+    }
+
+    fn deny(&mut self, attempt: AttemptId, denial: Denial, retry: Duration) -> Verdict {
+        if self.denied.len() >= DENIED_MAX {
+            self.denied.pop_first();
+        }
+        self.denied.insert(attempt);
+        self.denial(denial, retry)
+    }
+
+    fn denial(&self, denial: Denial, retry: Duration) -> Verdict {
+        Verdict::Deny {
+            denial,
+            retry: retry.clamp(RETRY_MIN, RETRY_MAX),
+        }
+    }
+
+    /// Returns the expected wait of an ask, by the rate at which others were served lately.
+    fn expected_wait(&self, ask: &Ask) -> Duration {
+        let organisation = &ask.work.organisation;
+        let weight = self.shares.get(organisation).map_or(1.0, |share| share.weight);
+        let ahead = self.queue.ahead(ask.work.class, organisation, weight);
+        if self.served_rate <= 0.0 || ahead == 0.0 {
+            return Duration::ZERO;
+        }
+        let seconds = (ahead / self.served_rate).min(RETRY_MAX.as_secs_f64() * 10.0);
+        Duration::from_secs_f64(seconds)
+    }
+
+    fn note_served(&mut self, now: Time) {
+        self.decay_rate(now);
+        self.served_rate += 1.0 / RATE_TIME.as_secs_f64();
+    }
+
+    fn decay_rate(&mut self, now: Time) {
+        let passed = now.saturating_sub(self.rate_at).as_secs_f64();
+        self.served_rate *= (-passed / RATE_TIME.as_secs_f64()).exp();
+        self.rate_at = now;
+    }
+
+    fn repeat_grant(&self, now: Time, attempt: AttemptId) -> Option<Grant> {
+        let placed = self.placed.get(&attempt).filter(|placed| !placed.confirmed)?;
+        let server = self.servers.get(&placed.server)?;
+        let age = now.saturating_sub(placed.since).as_millis();
+        Some(Grant {
+            attempt,
+            server: placed.server.clone(),
+            address: server.listing.address,
+            boot: server.boot(),
+            priority: priority(&placed.work),
+            age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+        })
+    }
+
+    /// Takes one item of a report. Returns whether the attempt is known.
+    fn take_item(&mut self, now: Time, holder: InstanceId, item: &Item) -> bool {
+        match item {
+            Item::Running {
+                attempt,
+                server,
+                work,
+                generated,
+            } => {
+                let placed = self.placed.entry(*attempt).or_insert_with(|| Placed {
+                    server: server.clone(),
+                    holder,
+                    work: work.clone(),
+                    suspect: false,
+                    generated: *generated,
+                    since: now,
+                    confirmed: true,
+                });
+                placed.confirmed = true;
+                placed.generated = placed.generated.max(*generated);
+                true
+            }
+            Item::Progress { attempt, generated } => match self.placed.get_mut(attempt) {
+                Some(placed) => {
+                    placed.confirmed = true;
+                    placed.generated = placed.generated.max(*generated);
+                    true
+                }
+                None => false,
+            },
+            Item::Ended {
+                attempt,
+                end,
+                generated,
+                first_token_ms,
+            } => {
+                self.end(now, *attempt, *end, *generated, *first_token_ms);
+                true
+            }
+        }
+    }
+
+    fn end(&mut self, now: Time, attempt: AttemptId, end: End, generated: u32, first_ms: u32) {
+        let Some(placed) = self.placed.remove(&attempt) else {
+            return;
+        };
+        if end == End::Complete && self.pool.service == Service::Engine {
+            let work = &placed.work;
+            self.lengths.add(&work.route, &work.organisation, generated);
+        }
+        let Some(server) = self.servers.get_mut(&placed.server) else {
+            return;
+        };
+        server.note_end(now);
+        match end {
+            End::Complete => {
+                let first_token = Duration::from_millis(u64::from(first_ms));
+                server.prove(first_token, &self.pool);
+            }
+            End::Refused => server.fail(now, false, &self.pool),
+            End::Unreachable | End::Crashed => server.fail(now, true, &self.pool),
+            End::Cancelled | End::Unused => {}
+        }
+    }
+
+    /// What a full report does not list does not run, unless it was granted so lately that the
+    /// report may have crossed the grant.
+    fn drop_unlisted(&mut self, now: Time, holder: InstanceId, report: &Report) {
+        let listed: BTreeSet<AttemptId> = report
+            .items
+            .iter()
+            .map(|item| match item {
+                Item::Running { attempt, .. }
+                | Item::Progress { attempt, .. }
+                | Item::Ended { attempt, .. } => *attempt,
+            })
+            .collect();
+        self.placed.retain(|attempt, placed| {
+            placed.holder != holder
+                || listed.contains(attempt)
+                || now.saturating_sub(placed.since) < GRANT_LIFETIME
+        });
+    }
+
+    fn expire_grants(&mut self, now: Time) {
+        let gone = &self.gone;
+        self.placed.retain(|_, placed| {
+            let unused = !placed.confirmed && now.saturating_sub(placed.since) >= GRANT_LIFETIME;
+            let orphaned = gone
+                .get(&placed.holder)
+                .is_some_and(|at| now.saturating_sub(*at) >= ORPHAN_TIME);
+            !unused && !orphaned
+        });
+        self.gone
+            .retain(|_, at| now.saturating_sub(*at) < ORPHAN_TIME * 2);
+        self.decay_rate(now);
+    }
+}
+
+/// Returns the engine priority of a piece of work: by class, and within a class the greater the
+/// more tokens its caller already has, so that an engine under pressure preempts what hurts least.
+pub fn priority(work: &Work) -> u8 {
+    const STEP: u8 = 64;
+    let class = STEP * 3 - STEP.saturating_mul(work.class.min(3));
+    let doublings = u32::BITS - work.delivered.leading_zeros();
+    class + (doublings as u8).min(STEP - 1)
+}
+
+#[cfg(test)]
+mod tests {
+    use proptest::prelude::*;
+
+    use super::*;
+
+    const START: Time = Duration::from_secs(10);
+    const SHARE: Share = Share {
+        weight: 1.0,
+        limit: 0,
+    };
+
+    fn pool() -> Pool {
+        Pool {
+            cold_limit: 2,
+            batch: 4,
+            memory_tokens: 10_000,
+            ..Pool::default()
+        }
+    }
+
+    fn listings(count: u16) -> Vec<Listing> {
+        (0..count)
+            .map(|index| Listing {
+                name: format!("e{index}").as_str().into(),
+                address: ([127, 0, 0, 1], index).into(),
+                leaving: false,
+                drained: false,
+            })
+            .collect()
+    }
+
+    fn ask(attempt: AttemptId) -> Ask {
+        Ask {
+            attempt,
+            pool: "p".into(),
+            data_centre: "a".into(),
+            work: Work {
+                organisation: "o".into(),
+                route: "r".into(),
+                class: 1,
+                prompt: 100,
+                delivered: 0,
+                hint: 100,
+                prefixes: Vec::new(),
+            },
+            avoid: Vec::new(),
+            suspect: false,
+            wait_ms: 5_000,
+        }
+    }
+
+    fn cell(servers: u16) -> Cell {
+        let mut cell = Cell::new(Time::ZERO, pool(), 1);
+        cell.configure(START, &pool(), &listings(servers));
+        cell
+    }
+
+    fn grants(replies: &[Reply]) -> usize {
+        replies
+            .iter()
+            .filter(|reply| matches!(reply.verdict, Verdict::Grant(_)))
+            .count()
+    }
+
+    fn ended(attempt: AttemptId, end: End) -> Report {
+        Report {
+            pool: "p".into(),
+            seq: 1,
+            full: false,
+            items: vec![Item::Ended {
+                attempt,
+                end,
+                generated: 50,
+                first_token_ms: 20,
+            }],
+        }
+    }
+
+    #[test]
+    fn cold_server_gets_its_cold_limit_and_grows_with_proof() {
+        let mut cell = cell(1);
+        let granted: usize = (0..4).map(|a| grants(&cell.ask(START, 1, ask(a), SHARE))).sum();
+        assert_eq!(granted, 2);
+        cell.report(START, 1, &ended(0, End::Complete));
+        assert_eq!(grants(&cell.serve(START)), 2, "one place freed, one proved");
+    }
+
+    #[test]
+    fn a_new_home_grants_nothing_on_cold_servers_while_it_learns() {
+        let mut cell = Cell::new(START, pool(), 1);
+        cell.configure(START, &pool(), &listings(2));
+        assert_eq!(grants(&cell.ask(START, 1, ask(1), SHARE)), 0);
+        assert_eq!(grants(&cell.tick(START + GRANT_LIFETIME)), 1);
+    }
+
+    #[test]
+    fn what_another_home_granted_counts_by_the_report() {
+        let mut cell = cell(1);
+        let load = Load {
+            running: 2,
+            ..Load::default()
+        };
+        cell.load(START, "e0", load);
+        assert_eq!(grants(&cell.ask(START, 1, ask(1), SHARE)), 0);
+    }
+
+    #[test]
+    fn unused_grant_expires_and_a_repeated_ask_gets_the_same_grant() {
+        let mut cell = cell(1);
+        let first = cell.ask(START, 1, ask(1), SHARE);
+        let again = cell.ask(START, 1, ask(1), SHARE);
+        assert_eq!(first, again);
+        assert_eq!(cell.count("e0"), 1);
+        cell.tick(START + GRANT_LIFETIME);
+        assert_eq!(cell.count("e0"), 0);
+    }
+
+    #[test]
+    fn hopeless_ask_is_denied_at_once() {
+        let mut cell = cell(1);
+        for attempt in 0..40 {
+            cell.ask(START, 1, ask(attempt), SHARE);
+        }
+        let mut now = START;
+        for attempt in 0..4 {
+            now += Duration::from_secs(1);
+            cell.report(now, 1, &ended(attempt, End::Cancelled));
+            cell.serve(now);
+        }
+        let replies = cell.ask(now, 1, ask(99), SHARE);
+        assert!(matches!(
+            replies[0].verdict,
+            Verdict::Deny {
+                denial: Denial::Full,
+                ..
+            }
+        ));
+    }
+
+    #[test]
+    fn suspects_do_not_share_a_server() {
+        let mut cell = cell(1);
+        let suspect = |attempt| Ask {
+            suspect: true,
+            ..ask(attempt)
+        };
+        assert_eq!(grants(&cell.ask(START, 1, suspect(1), SHARE)), 1);
+        assert_eq!(grants(&cell.ask(START, 1, suspect(2), SHARE)), 0);
+    }
+
+    proptest! {
+        #[test]
+        fn limits_hold_whatever_comes(
+            steps in proptest::collection::vec((0u8..5, 0u64..30, 0u64..400), 1..150),
+        ) {
+            let mut cell = cell(3);
+            let mut now = START;
+            for (kind, attempt, wait) in steps {
+                now += Duration::from_millis(wait);
+                match kind {
+                    0 | 1 => drop(cell.ask(now, attempt % 3, ask(attempt), SHARE)),
+                    2 => drop(cell.report(now, attempt % 3, &ended(attempt, End::Complete))),
+                    3 => drop(cell.report(now, attempt % 3, &ended(attempt, End::Refused))),
+                    _ => drop(cell.tick(now)),
+                }
+                drop(cell.serve(now));
+                let limit = pool().batch as usize;
+                prop_assert!(cell.servers.keys().all(|name| cell.count(name) <= limit));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/burn/src/plot.rs
@@ -0,0 +1,83 @@
+//! One picture of a report.
+
+use std::error;
+
+use plotters::prelude::BLACK;
+use plotters::prelude::ChartBuilder;
+use plotters::prelude::Color;
+use plotters::prelude::IntoDrawingArea;
+use plotters::prelude::IntoFont;
+use plotters::prelude::RGBColor;
+use plotters::prelude::Rectangle;
+use plotters::prelude::SVGBackend;
+use plotters::prelude::Text;
+use plotters::prelude::WHITE;
+
+use crate::WINDOW_NAMES;
+use crate::WINDOWS;
+use crate::report::Burn;
+
+/// Most objectives in the picture.
+const BARS_MAX: usize = 20;
+/// Width of the picture, in pixels.
+const WIDTH: u32 = 900;
+/// Height of one objective, in pixels.
+const ROW: u32 = 34;
+/// Colours of the windows, shortest first.
+const COLOURS: [RGBColor; WINDOWS] = [
+    RGBColor(200, 60, 40),
+    RGBColor(230, 150, 50),
+    RGBColor(90, 130, 180),
+];
+
+/// Returns an SVG with the burn rates of the most urgent objectives.
+///
+/// # Errors
+///
+/// If the picture can't be drawn.
+pub fn svg(burns: &[Burn]) -> Result<String, Box<dyn error::Error>> {
+    let shown = &burns[..burns.len().min(BARS_MAX)];
+    let mut out = String::new();
+    {
+        let height = ROW * shown.len().max(2) as u32 + 110;
+        let area = SVGBackend::with_string(&mut out, (WIDTH, height)).into_drawing_area();
+        area.fill(&WHITE)?;
+        let most = shown
+            .iter()
+            .flat_map(|burn| burn.rates)
+            .fold(2.0, f64::max);
+        let caption = "Burn rate (1 uses up the budget in 30 days)";
+        let rows = shown.len().max(1) as f64;
+        let mut chart = ChartBuilder::on(&area)
+            .caption(caption, ("sans-serif", 18))
+            .margin(12)
+            .x_label_area_size(34)
+            .y_label_area_size(10)
+            .build_cartesian_2d(-most * 0.55..most * 1.05, 0.0..rows)?;
+        chart
+            .configure_mesh()
+            .disable_y_mesh()
+            .disable_y_axis()
+            .x_label_formatter(&|x| if *x < 0.0 { String::new() } else { format!("{x:.0}") })
+            .x_desc(format!(
+                "{} red, {} orange, {} blue",
+                WINDOW_NAMES[0], WINDOW_NAMES[1], WINDOW_NAMES[2]
+            ))
+            .draw()?;
+        for (index, burn) in shown.iter().enumerate() {
+            let top = rows - index as f64;
+            for (window, rate) in burn.rates.iter().enumerate() {
+                let upper = top - 0.12 - 0.25 * window as f64;
+                let corners = [(0.0, upper), (*rate, upper - 0.22)];
+                let bar = Rectangle::new(corners, COLOURS[window].filled());
+                chart.draw_series(std::iter::once(bar))?;
+            }
+            let name = format!("{} / {} {}", burn.route, burn.organisation, burn.aspect.as_str());
+            let style = ("sans-serif", 13).into_font().color(&BLACK);
+            let label = Text::new(name, (-most * 0.54, top - 0.3), style);
+            chart.draw_series(std::iter::once(label))?;
+        }
+        area.present()?;
+    }
+    Ok(out)
+}
--- /dev/null
+++ b/crates/core/src/gossip.rs
@@ -0,0 +1,128 @@
+//! Frames of other instances.
+
+use std::time::Duration;
+
+use admit::Verdict;
+use member::Send;
+use wire::Body;
+use wire::Frame;
+use wire::InstanceId;
+use wire::gossip::Gossip;
+
+use crate::instance::Instance;
+use crate::message::Output;
+
+/// Leaving servers named in one frame.
+const LEAVING_MAX: usize = 8;
+
+impl Instance {
+    pub(crate) fn on_frame(&mut self, frame: Frame) {
+        let age = self.skew.age(frame.from, frame.wall_ms, self.wall);
+        let from = frame.from;
+        match frame.body {
+            Body::Ping { probe, gossip } => {
+                self.hear(from, &gossip);
+                self.set_facts();
+                let sends = self.members.on_ping(self.now, from, probe, &gossip);
+                self.send_all(sends);
+            }
+            Body::Ack { probe, gossip } => {
+                self.hear(from, &gossip);
+                let sends = self.members.on_ack(self.now, from, probe, &gossip);
+                self.send_all(sends);
+            }
+            Body::PingFor { probe, target } => {
+                let sends = self.members.on_ping_for(self.now, from, probe, target);
+                self.send_all(sends);
+            }
+            body => self.on_body(from, body, age),
+        }
+    }
+
+    fn on_body(&mut self, from: InstanceId, body: Body, age: Duration) {
+        match body {
+            Body::Ask(ask) => self.on_ask(from, ask),
+            Body::Grant(grant) => {
+                self.on_verdict(from, grant.attempt, Verdict::Grant(grant), age);
+            }
+            Body::Queued { attempt, wait_ms } => {
+                let wait = Duration::from_millis(u64::from(wait_ms));
+                self.on_verdict(from, attempt, Verdict::Queued { wait }, age);
+            }
+            Body::Deny {
+                attempt,
+                denial,
+                retry_ms,
+            } => {
+                let retry = Duration::from_millis(u64::from(retry_ms));
+                self.on_verdict(from, attempt, Verdict::Deny { denial, retry }, age);
+            }
+            Body::Elsewhere { attempt, home } => self.on_elsewhere(attempt, home),
+            Body::Withdraw { attempt } => self.on_withdraw(attempt),
+            Body::Report(report) => self.on_peer_report(from, &report),
+            Body::Resync { pool } => {
+                let found = self.members.entry(from).map(|entry| entry.data_centre.clone());
+                if let Some(data_centre) = found {
+                    self.report_in_full(&data_centre, &pool);
+                }
+            }
+            Body::Claim(claim) => self.on_claim(from, claim),
+            Body::Claimed { claim, verdict } => self.on_claimed(claim, verdict),
+            Body::Settle(settle) => self.on_settle(from, settle),
+            Body::Settled { claim } => self.on_settled(claim),
+            Body::Fetch { after } => self.on_fetch(from, after),
+            Body::Changes { json } => self.on_changes(&json),
+            Body::Whole { json } => self.on_whole(&json),
+            Body::Ping { .. } | Body::Ack { .. } | Body::PingFor { .. } => {}
+        }
+    }
+
+    /// Takes the facts that came on a probe or its answer.
+    fn hear(&mut self, from: InstanceId, gossip: &Gossip) {
+        for strike in &gossip.strikes {
+            self.suspects.hear(self.now, strike);
+        }
+        for server in &gossip.leaving {
+            self.note_leaving(server);
+        }
+        self.hear_version(from, gossip.config);
+    }
+
+    pub(crate) fn tick_members(&mut self) {
+        if self.now < self.next_tick {
+            return;
+        }
+        self.next_tick = self.now + member::membership::PROBE_PERIOD;
+        self.set_facts();
+        let tick = self.members.tick(self.now);
+        if tick.woke {
+            self.log("member", true, "This process was paused.".into());
+            self.reset_cells();
+        }
+        self.send_all(tick.sends);
+    }
+
+    fn set_facts(&mut self) {
+        let strikes = self.suspects.gossip(self.now);
+        let leaving = self.home.leaving().take(LEAVING_MAX).cloned().collect();
+        self.members.set_facts(Gossip {
+            rumours: Vec::new(),
+            config: self.config.follower.version(),
+            strikes,
+            leaving,
+        });
+    }
+
+    pub(crate) fn send_all(&mut self, sends: Vec<Send>) {
+        for Send { address, to, body } in sends {
+            self.out.push(Output::Send { address, to, body });
+        }
+    }
+
+    pub(crate) fn send(&mut self, to: InstanceId, body: Body) {
+        if let Some(entry) = self.members.entry(to) {
+            let address = entry.peers;
+            self.out.push(Output::Send { address, to, body });
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/home.rs
@@ -0,0 +1,582 @@
+//! Deciding for a pool, and reporting to whoever does.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use admit::Cell;
+use admit::Listing;
+use admit::Reply;
+use admit::Verdict;
+use admit::cell::Share;
+use clock::Time;
+use conf::Name;
+use wire::AttemptId;
+use wire::Body;
+use wire::InstanceId;
+use wire::RequestId;
+use wire::admission::Ask;
+use wire::admission::End;
+use wire::admission::Item;
+use wire::admission::Report;
+
+use crate::instance::Instance;
+use crate::message::Listed;
+use crate::message::ListedServer;
+use crate::message::Output;
+use crate::message::ServerReport;
+use crate::seek::SiteMemory;
+use crate::settings::Policy;
+
+/// Time between two probes of a server by its home.
+const PROBE_PERIOD: Duration = Duration::from_millis(250);
+/// Time that changes wait to be reported together.
+const REPORT_DELAY: Duration = Duration::from_millis(30);
+/// Time between two full reports.
+const FULL_PERIOD: Duration = Duration::from_secs(5);
+/// Tokens between two reports of the same attempt.
+const PROGRESS_STEP: u32 = 32;
+/// Time for which a full data centre is not asked for a place at once.
+const FULL_TIME: Duration = Duration::from_millis(400);
+/// Least time between two ticks of the cells.
+const CELL_PERIOD: Duration = Duration::from_millis(20);
+
+/// What an instance keeps of homes: those that it is, and those that it reports to.
+#[derive(Debug, Default)]
+pub(crate) struct Home {
+    pub(crate) cells: BTreeMap<Name, Cell>,
+    reporters: BTreeMap<(Name, Name), Reporter>,
+    sites: BTreeMap<(Name, Name), SiteMemory>,
+    leaving: BTreeSet<Name>,
+    next_probe: Time,
+    next_tick: Time,
+    seen_changes: u64,
+}
+
+/// What one home is told of one pool.
+#[derive(Debug)]
+struct Reporter {
+    home: InstanceId,
+    seq: u64,
+    items: Vec<Item>,
+    since: Option<Time>,
+    full_at: Time,
+}
+
+impl Home {
+    pub(crate) fn site(&self, data_centre: &str, pool: &str) -> SiteMemory {
+        let key = (Name::from(data_centre), Name::from(pool));
+        self.sites.get(&key).copied().unwrap_or_default()
+    }
+
+    pub(crate) fn site_mut(&mut self, data_centre: &Name, pool: &Name) -> &mut SiteMemory {
+        let key = (data_centre.clone(), pool.clone());
+        self.sites.entry(key).or_default()
+    }
+
+    pub(crate) fn was_full_lately(&self, data_centre: &str, pool: &str, now: Time) -> bool {
+        let full_at = self.site(data_centre, pool).full_at;
+        full_at.is_some_and(|at| now.saturating_sub(at) < FULL_TIME)
+    }
+
+    pub(crate) fn is_leaving(&self, server: &str) -> bool {
+        self.leaving.contains(server)
+    }
+
+    /// Returns the servers that are known to be leaving.
+    pub(crate) fn leaving(&self) -> impl Iterator<Item = &Name> {
+        self.leaving.iter()
+    }
+
+    pub(crate) fn next_wake(&self) -> Option<Time> {
+        let cells = self.cells.values().filter_map(Cell::next_wake).min();
+        let reports = self
+            .reporters
+            .values()
+            .filter_map(|r| r.since.map(|since| since + REPORT_DELAY))
+            .min();
+        let cells = cells.map(|at| at.max(self.next_tick));
+        [Some(self.next_probe), cells, reports]
+            .into_iter()
+            .flatten()
+            .min()
+    }
+}
+
+impl Instance {
+    pub(crate) fn on_list(&mut self, listed: Vec<Listed>) {
+        let mut instances = Vec::new();
+        let mut servers = BTreeMap::new();
+        for one in listed {
+            match one {
+                Listed::Instance(instance) => instances.push(instance),
+                Listed::Server(server) => {
+                    servers.insert(server.name.clone(), server);
+                }
+            }
+        }
+        let reclaimed: Vec<Name> = servers
+            .values()
+            .filter(|server| server.reclaimed)
+            .filter(|server| !self.servers.get(&server.name).is_some_and(|s| s.reclaimed))
+            .map(|server| server.name.clone())
+            .collect();
+        // The list lags: a server that said itself that it leaves is believed for as long as it is
+        // listed at the same address.
+        let servers_before = std::mem::replace(&mut self.servers, servers);
+        let same = |name: &Name, server: &ListedServer| {
+            servers_before
+                .get(name)
+                .is_some_and(|before| before.address == server.address)
+        };
+        let current = &self.servers;
+        self.home
+            .leaving
+            .retain(|name| current.get(name).is_some_and(|server| same(name, server)));
+        self.members.list(instances);
+        self.listed = true;
+        self.refresh_homes();
+        for server in reclaimed {
+            self.move_away(&server);
+        }
+    }
+
+    /// Notes that a server is about to go. Returns whether that is news.
+    pub(crate) fn note_leaving(&mut self, server: &Name) -> bool {
+        let news = self.servers.contains_key(server) && self.home.leaving.insert(server.clone());
+        if news {
+            for cell in self.home.cells.values_mut() {
+                cell.leaving(server);
+            }
+        }
+        news
+    }
+
+    /// Brings the cells in line with the configuration, the list and the membership.
+    pub(crate) fn refresh_homes(&mut self) {
+        if self.settings.policy != Policy::Home {
+            return;
+        }
+        let own = self.own_dc();
+        let pools: Vec<Name> = self.config().pools.keys().cloned().collect();
+        for pool in &pools {
+            if self.members.home(&own, pool) == Some(self.id()) {
+                self.keep_cell(pool);
+            } else if self.home.cells.contains_key(pool) {
+                self.drop_cell(pool);
+            }
+        }
+        self.home.cells.retain(|name, _| pools.contains(name));
+        self.reassign_reporters();
+    }
+
+    fn keep_cell(&mut self, name: &Name) {
+        let Some(pool) = self.config().pools.get(name).cloned() else {
+            return;
+        };
+        let own = self.own_dc();
+        let out = !route::choice::in_service(self.config(), &own);
+        let label = if pool.selector.is_empty() {
+            name
+        } else {
+            &pool.selector
+        };
+        let listings: Vec<Listing> = self
+            .servers
+            .values()
+            .filter(|server| server.label == *label && server.data_centre == own)
+            .map(|server| Listing {
+                name: server.name.clone(),
+                address: server.address,
+                leaving: server.leaving || self.home.is_leaving(&server.name),
+                drained: out || self.config().drained.contains(&server.name),
+            })
+            .collect();
+        let (now, seed) = (self.now, self.rng.u64(..));
+        let majority = self.members.has_majority();
+        let is_new = !self.home.cells.contains_key(name);
+        let cell = self
+            .home
+            .cells
+            .entry(name.clone())
+            .or_insert_with(|| Cell::new(now, pool.clone(), seed));
+        cell.configure(now, &pool, &listings);
+        cell.set_majority(majority);
+        if is_new {
+            self.log("home", false, format!("Now the home of pool {name}."));
+        }
+    }
+
+    /// Hands a cell over: whoever waits in it is told where to ask now.
+    fn drop_cell(&mut self, name: &Name) {
+        let own = self.own_dc();
+        let Some(mut cell) = self.home.cells.remove(name) else {
+            return;
+        };
+        let home = self.members.home(&own, name);
+        self.log("home", false, format!("No longer the home of pool {name}."));
+        for (holder, attempt) in cell.take_waiting() {
+            let Some(home) = home else { continue };
+            if holder == self.id() {
+                self.on_elsewhere(attempt, home);
+            } else {
+                self.send(holder, Body::Elsewhere { attempt, home });
+            }
+        }
+    }
+
+    /// Throws away what the cells believe after this process was paused.
+    pub(crate) fn reset_cells(&mut self) {
+        let names: Vec<Name> = self.home.cells.keys().cloned().collect();
+        self.home.cells.clear();
+        for name in names {
+            self.keep_cell(&name);
+        }
+        let keys: Vec<(Name, Name)> = self.home.reporters.keys().cloned().collect();
+        for (data_centre, pool) in keys {
+            self.report_in_full(&data_centre, &pool);
+        }
+    }
+
+    pub(crate) fn on_ask(&mut self, holder: InstanceId, ask: Ask) {
+        let attempt = ask.attempt;
+        let share = self.share_of(&ask.work.organisation);
+        let own = self.own_dc();
+        let here = ask.data_centre == own;
+        if let Some(cell) = self.home.cells.get_mut(&ask.pool).filter(|_| here) {
+            let replies = cell.ask(self.now, holder, ask, share);
+            self.deliver(replies);
+            return;
+        }
+        if let Some(home) = self.members.home(&ask.data_centre, &ask.pool) {
+            if holder == self.id() {
+                self.on_elsewhere(attempt, home);
+            } else {
+                self.send(holder, Body::Elsewhere { attempt, home });
+            }
+        }
+    }
+
+    fn share_of(&self, organisation: &str) -> Share {
+        let found = self.config().organisations.get(organisation);
+        Share {
+            weight: found.map_or(1.0, |found| f64::from(found.weight)),
+            limit: found.map_or(0, |found| found.limit),
+        }
+    }
+
+    pub(crate) fn on_withdraw(&mut self, attempt: AttemptId) {
+        let mut replies = Vec::new();
+        for cell in self.home.cells.values_mut() {
+            replies.extend(cell.withdraw(self.now, attempt));
+        }
+        self.deliver(replies);
+    }
+
+    pub(crate) fn on_peer_report(&mut self, holder: InstanceId, report: &Report) {
+        let Some(cell) = self.home.cells.get_mut(&report.pool) else {
+            return;
+        };
+        let known = cell.report(self.now, holder, report);
+        let replies = cell.serve(self.now);
+        if !known {
+            let pool = report.pool.clone();
+            self.send(holder, Body::Resync { pool });
+        }
+        self.deliver(replies);
+    }
+
+    fn deliver(&mut self, replies: Vec<Reply>) {
+        for reply in replies {
+            if reply.holder == self.id() {
+                let own = self.id();
+                self.on_verdict(own, reply.attempt, reply.verdict, Duration::ZERO);
+                continue;
+            }
+            let attempt = reply.attempt;
+            let body = match reply.verdict {
+                Verdict::Grant(grant) => Body::Grant(grant),
+                Verdict::Queued { wait } => Body::Queued {
+                    attempt,
+                    wait_ms: millis(wait),
+                },
+                Verdict::Deny { denial, retry } => Body::Deny {
+                    attempt,
+                    denial,
+                    retry_ms: millis(retry),
+                },
+            };
+            self.send(reply.holder, body);
+        }
+    }
+
+    /// Takes a server's answer to a probe.
+    pub(crate) fn on_report(&mut self, server: &Name, report: Option<ServerReport>) {
+        let Some(report) = report else {
+            return;
+        };
+        let reborn = self
+            .baseline
+            .loads
+            .insert(server.clone(), (self.now, report.load))
+            .is_some_and(|(_, before)| before.boot != report.load.boot);
+        if reborn {
+            self.home.leaving.remove(server);
+        }
+        if report.load.leaving {
+            self.note_leaving(server);
+        }
+        let mut replies = Vec::new();
+        for cell in self.home.cells.values_mut() {
+            cell.load(self.now, server, report.load);
+            let events = &report.events;
+            cell.cache(server, report.load.boot, report.first_event, events);
+            replies.extend(cell.serve(self.now));
+        }
+        self.note_setup(server, &report);
+        self.deliver(replies);
+    }
+
+    pub(crate) fn tick_home(&mut self) {
+        if self.home.seen_changes != self.members.changes() {
+            self.home.seen_changes = self.members.changes();
+            self.note_dead_holders();
+            self.refresh_homes();
+        }
+        if self.now >= self.home.next_tick {
+            self.home.next_tick = self.now + CELL_PERIOD;
+            self.tick_cells();
+        }
+        if self.now >= self.home.next_probe {
+            self.home.next_probe = self.now + PROBE_PERIOD;
+            self.probe_servers();
+        }
+        self.flush_reports();
+    }
+
+    fn tick_cells(&mut self) {
+        let mut replies = Vec::new();
+        for cell in self.home.cells.values_mut() {
+            replies.extend(cell.tick(self.now));
+        }
+        self.deliver(replies);
+    }
+
+    fn note_dead_holders(&mut self) {
+        let dead: Vec<InstanceId> = self
+            .members
+            .rumours()
+            .filter(|rumour| rumour.state == wire::gossip::State::Dead)
+            .map(|rumour| rumour.entry.id)
+            .collect();
+        for cell in self.home.cells.values_mut() {
+            for holder in &dead {
+                cell.holder_gone(self.now, *holder);
+            }
+        }
+    }
+
+    fn probe_servers(&mut self) {
+        let everything = self.settings.policy == Policy::LeastLoaded;
+        let orders = self.reconciler.is_holder(self.now);
+        let own = self.own_dc();
+        let mut probed: BTreeMap<Name, std::net::SocketAddr> = BTreeMap::new();
+        for cell in self.home.cells.values() {
+            for server in cell.servers() {
+                let listing = &server.listing;
+                probed.insert(listing.name.clone(), listing.address);
+            }
+        }
+        for server in self.servers.values() {
+            if everything || (orders && server.data_centre == own) {
+                probed.insert(server.name.clone(), server.address);
+            }
+        }
+        for (server, address) in probed {
+            self.out.push(Output::Probe { server, address });
+        }
+    }
+
+    /// Reports the dispatch of a job's attempt.
+    pub(crate) fn note_started(&mut self, id: RequestId) {
+        let Some(running) = self.jobs.get(&id).and_then(|job| job.running()) else {
+            return;
+        };
+        let item = Item::Progress {
+            attempt: running.attempt,
+            generated: 0,
+        };
+        self.report(id, item);
+    }
+
+    /// Reports how far a job's attempt has come, from time to time.
+    pub(crate) fn note_progress(&mut self, id: RequestId) {
+        let Some(running) = self.jobs.get(&id).and_then(|job| job.running()) else {
+            return;
+        };
+        let (attempt, generated) = (running.attempt, running.generated);
+        if generated >= PROGRESS_STEP {
+            self.report(id, Item::Progress { attempt, generated });
+        }
+    }
+
+    /// Reports the end of a job's attempt.
+    pub(crate) fn note_ended(&mut self, id: RequestId, end: End) {
+        let Some(running) = self.jobs.get(&id).and_then(|job| job.running()) else {
+            return;
+        };
+        let first_token = running.first_token.unwrap_or_default();
+        let item = Item::Ended {
+            attempt: running.attempt,
+            end,
+            generated: running.generated,
+            first_token_ms: millis(first_token),
+        };
+        self.report(id, item);
+    }
+
+    fn report(&mut self, id: RequestId, item: Item) {
+        if self.settings.policy != Policy::Home {
+            return;
+        }
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let Some(running) = job.running() else {
+            return;
+        };
+        let key = (running.data_centre.clone(), job.route.pool.clone());
+        let Some(home) = self.members.home(&key.0, &key.1) else {
+            return;
+        };
+        let now = self.now;
+        let reporter = self.home.reporters.entry(key.clone()).or_insert(Reporter {
+            home,
+            seq: 0,
+            items: Vec::new(),
+            since: None,
+            full_at: now,
+        });
+        reporter.items.push(item);
+        reporter.since.get_or_insert(now);
+        if home == self.id() {
+            self.flush_report(&key);
+        }
+    }
+
+    /// Reports in full to homes that have changed.
+    fn reassign_reporters(&mut self) {
+        let keys: Vec<(Name, Name)> = self.home.reporters.keys().cloned().collect();
+        for (data_centre, pool) in keys {
+            let home = self.members.home(&data_centre, &pool);
+            let known = self.home.reporters[&(data_centre.clone(), pool.clone())].home;
+            if home.is_some_and(|home| home != known) {
+                self.report_in_full(&data_centre, &pool);
+            }
+        }
+    }
+
+    /// Tells a home all that runs here of its pool.
+    pub(crate) fn report_in_full(&mut self, data_centre: &Name, pool: &Name) {
+        let Some(home) = self.members.home(data_centre, pool) else {
+            return;
+        };
+        let key = (data_centre.clone(), pool.clone());
+        let items = self.running_items(data_centre, pool);
+        let now = self.now;
+        let Some(reporter) = self.home.reporters.get_mut(&key) else {
+            return;
+        };
+        // Ends that were not sent yet go with it, for what they say of the server.
+        let ended = reporter.items.drain(..).filter(|i| matches!(i, Item::Ended { .. }));
+        let items: Vec<Item> = ended.chain(items).collect();
+        reporter.home = home;
+        reporter.since = None;
+        reporter.full_at = now;
+        reporter.seq += 1;
+        let report = Report {
+            pool: pool.clone(),
+            seq: reporter.seq,
+            full: true,
+            items,
+        };
+        self.send_report(home, report);
+    }
+
+    fn running_items(&self, data_centre: &Name, pool: &Name) -> Vec<Item> {
+        self.jobs
+            .values()
+            .filter(|job| job.route.pool == *pool)
+            .filter_map(|job| Some((job, job.running()?)))
+            .filter(|(_, running)| running.data_centre == *data_centre)
+            .map(|(job, running)| Item::Running {
+                attempt: running.attempt,
+                server: running.server.clone(),
+                work: job.work(self.hint(job)),
+                generated: running.generated,
+            })
+            .collect()
+    }
+
+    fn flush_reports(&mut self) {
+        let now = self.now;
+        let due: Vec<(Name, Name)> = self
+            .home
+            .reporters
+            .iter()
+            .filter(|(_, r)| r.since.is_some_and(|since| now >= since + REPORT_DELAY))
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in due {
+            self.flush_report(&key);
+        }
+    }
+
+    fn flush_report(&mut self, key: &(Name, Name)) {
+        let now = self.now;
+        let Some(reporter) = self.home.reporters.get_mut(key) else {
+            return;
+        };
+        if now.saturating_sub(reporter.full_at) >= FULL_PERIOD {
+            self.report_in_full(&key.0, &key.1);
+            return;
+        }
+        let items = std::mem::take(&mut reporter.items);
+        reporter.since = None;
+        reporter.seq += 1;
+        let report = Report {
+            pool: key.1.clone(),
+            seq: reporter.seq,
+            full: false,
+            items: merge_progress(items),
+        };
+        let home = reporter.home;
+        self.send_report(home, report);
+    }
+
+    fn send_report(&mut self, home: InstanceId, report: Report) {
+        if home == self.id() {
+            self.on_peer_report(home, &report);
+        } else {
+            self.send(home, Body::Report(report));
+        }
+    }
+}
+
+/// Keeps the newest progress of each attempt, and none of those that ended.
+fn merge_progress(items: Vec<Item>) -> Vec<Item> {
+    let mut newest: BTreeMap<AttemptId, Item> = BTreeMap::new();
+    for item in items {
+        let attempt = match &item {
+            Item::Running { attempt, .. }
+            | Item::Progress { attempt, .. }
+            | Item::Ended { attempt, .. } => *attempt,
+        };
+        newest.insert(attempt, item);
+    }
+    newest.into_values().collect()
+}
+
+fn millis(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/core/src/instance.rs
@@ -0,0 +1,323 @@
+//! The state, and the way of each input.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use burn::Meter;
+use clock::Time;
+use clock::Wall;
+use length::Estimator;
+use member::Membership;
+use member::skew::Skew;
+use once::Ledger;
+use place::Reconciler;
+use route::retry::Budget;
+use store::Ticket;
+use suspect::Table;
+use wire::AttemptId;
+use wire::InstanceId;
+use wire::Name;
+use wire::RequestId;
+
+use crate::baseline::Baseline;
+use crate::claims::Endings;
+use crate::config::Configuring;
+use crate::home::Home;
+use crate::job::Job;
+use crate::message::Input;
+use crate::message::ListedServer;
+use crate::message::Output;
+use crate::settings::Settings;
+
+/// A broken invariant, counted where it does not panic.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Violation {
+    /// Work was dispatched to a data centre or server that takes none.
+    WorkAfterWithdrawal,
+    /// A request that must not run twice was dispatched again.
+    RepeatedRun,
+    /// A request ended twice.
+    EndedTwice,
+    /// The configuration went back.
+    ConfigReverted,
+}
+
+impl Violation {
+    /// Returns the violation as a metric's label value.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Violation::WorkAfterWithdrawal => "work-after-withdrawal",
+            Violation::RepeatedRun => "repeated-run",
+            Violation::EndedTwice => "ended-twice",
+            Violation::ConfigReverted => "config-reverted",
+        }
+    }
+}
+
+/// Who waits for an answer of the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Owner {
+    /// The ledger, with its own ticket.
+    Ledger(Ticket),
+    /// The configuration.
+    Config(crate::config::Purpose),
+    /// The lease for orders.
+    Lease,
+}
+
+/// All decisions of one instance.
+#[derive(Debug)]
+pub struct Instance {
+    pub(crate) settings: Settings,
+    pub(crate) rng: fastrand::Rng,
+    pub(crate) now: Time,
+    pub(crate) wall: Wall,
+    pub(crate) members: Membership,
+    pub(crate) skew: Skew,
+    pub(crate) next_tick: Time,
+    pub(crate) servers: BTreeMap<Name, ListedServer>,
+    pub(crate) listed: bool,
+    pub(crate) jobs: BTreeMap<RequestId, Job>,
+    pub(crate) attempts: BTreeMap<AttemptId, RequestId>,
+    pub(crate) timers: BTreeSet<(Time, RequestId)>,
+    pub(crate) home: Home,
+    pub(crate) budgets: BTreeMap<Name, Budget>,
+    pub(crate) lengths: Estimator,
+    pub(crate) ledger: Ledger,
+    pub(crate) endings: Endings,
+    pub(crate) store: store::Client,
+    pub(crate) owners: BTreeMap<Ticket, Owner>,
+    pub(crate) next_ticket: Ticket,
+    pub(crate) config: Configuring,
+    pub(crate) suspects: Table,
+    pub(crate) reconciler: Reconciler,
+    pub(crate) next_orders: Time,
+    pub(crate) meter: Meter,
+    pub(crate) baseline: Baseline,
+    pub(crate) leaving: bool,
+    pub(crate) out: Vec<Output>,
+    violations: BTreeMap<Violation, u64>,
+}
+
+impl Instance {
+    /// Returns an instance that knows nothing but its settings.
+    pub fn new(settings: Settings) -> Instance {
+        let own = settings.own.clone();
+        let mut rng = fastrand::Rng::with_seed(settings.seed);
+        Instance {
+            members: Membership::new(own.clone(), rng.u64(..)),
+            skew: Skew::default(),
+            next_tick: Time::ZERO,
+            servers: BTreeMap::new(),
+            listed: false,
+            jobs: BTreeMap::new(),
+            attempts: BTreeMap::new(),
+            timers: BTreeSet::new(),
+            home: Home::default(),
+            budgets: BTreeMap::new(),
+            lengths: Estimator::default(),
+            ledger: Ledger::new(settings.shards),
+            endings: Endings::default(),
+            store: store::Client::new(settings.store, rng.u64(..)),
+            owners: BTreeMap::new(),
+            next_ticket: 0,
+            config: Configuring::default(),
+            suspects: Table::new(settings.strikes),
+            reconciler: Reconciler::new(&own.data_centre, own.id),
+            next_orders: Time::ZERO,
+            meter: Meter::default(),
+            baseline: Baseline::default(),
+            leaving: false,
+            out: Vec::new(),
+            violations: BTreeMap::new(),
+            now: Time::ZERO,
+            wall: Wall::ZERO,
+            rng,
+            settings,
+        }
+    }
+
+    /// Takes an input at a time and returns what is to be done.
+    ///
+    /// Time that goes back is taken as standing still.
+    ///
+    /// # Panics
+    ///
+    /// If an invariant is broken and the settings are strict.
+    pub fn handle(&mut self, now: Time, wall: Wall, input: Input) -> Vec<Output> {
+        self.now = self.now.max(now);
+        self.wall = wall;
+        match input {
+            Input::Request(request) => self.on_request(request),
+            Input::Gone(request) => self.on_gone(request),
+            Input::Frame(frame) => self.on_frame(frame),
+            Input::Attempt(attempt, event) => self.on_event(attempt, event),
+            Input::Report(server, report) => self.on_report(&server, report),
+            Input::Store(id, answer) => self.on_store(id, answer),
+            Input::List(listed) => self.on_list(listed),
+            Input::Command(command) => self.on_command(command),
+            Input::Leave => self.on_leave(),
+            Input::Stop => self.on_stop(),
+            Input::Wake => {}
+        }
+        self.pass_time();
+        std::mem::take(&mut self.out)
+    }
+
+    /// Returns when the instance next has something to do by itself.
+    pub fn next_wake(&self) -> Option<Time> {
+        let wakes = [
+            Some(self.next_tick),
+            self.timers.first().map(|(due, _)| *due),
+            self.home.next_wake(),
+            self.ledger.next_wake(),
+            self.endings.next_wake(),
+            self.store.next_wake(),
+            self.config.next_wake(),
+            Some(self.next_orders),
+        ];
+        wakes.into_iter().flatten().min()
+    }
+
+    /// Returns whether no request is left.
+    pub fn is_idle(&self) -> bool {
+        self.jobs.is_empty() && self.endings.is_empty()
+    }
+
+    /// Returns whether callers may be sent here: a configuration and a list are known.
+    pub fn is_ready(&self) -> bool {
+        !self.leaving && self.listed && self.config.follower.version() > 0
+    }
+
+    /// Returns this life's number.
+    pub fn id(&self) -> InstanceId {
+        self.settings.own.id
+    }
+
+    /// Returns the configuration in force.
+    pub fn config(&self) -> &conf::Config {
+        self.config.follower.config()
+    }
+
+    /// Returns how often each invariant was broken.
+    pub fn violations(&self) -> &BTreeMap<Violation, u64> {
+        &self.violations
+    }
+
+    /// Returns the requests that it has.
+    pub fn jobs(&self) -> impl Iterator<Item = &Job> {
+        self.jobs.values()
+    }
+
+    /// Returns how many calls the store was sent.
+    pub fn store_calls(&self) -> u64 {
+        self.store.calls()
+    }
+
+    /// Returns the counts of the service-level objectives.
+    pub fn burn(&self) -> burn::Snapshot {
+        self.meter.snapshot(self.now)
+    }
+
+    /// Returns whether an order may still be sent at this moment.
+    pub fn may_send(&self, now: Time, order: &place::Order) -> bool {
+        self.reconciler.may_send(now.max(self.now), order)
+    }
+
+    pub(crate) fn own_dc(&self) -> Name {
+        self.settings.own.data_centre.clone()
+    }
+
+    pub(crate) fn check(&mut self, holds: bool, violation: Violation) {
+        if holds {
+            return;
+        }
+        assert!(!self.settings.strict, "violation: {}", violation.as_str());
+        *self.violations.entry(violation).or_default() += 1;
+        let text = format!("Invariant broken: {}.", violation.as_str());
+        self.log("core", true, text);
+    }
+
+    pub(crate) fn log(&mut self, part: &'static str, warn: bool, text: String) {
+        self.out.push(Output::Log { part, warn, text });
+    }
+
+    pub(crate) fn call_store(&mut self, owner: Owner, call: store::Call) {
+        self.next_ticket += 1;
+        self.owners.insert(self.next_ticket, owner);
+        let (priority, patience) = match owner {
+            Owner::Ledger(_) => (store::Priority::Claim, crate::claims::STORE_PATIENCE),
+            Owner::Config(purpose) => (store::Priority::Config, purpose.patience()),
+            Owner::Lease => (store::Priority::Lease, crate::orders::LEASE_PATIENCE),
+        };
+        self.store
+            .submit(self.now, self.next_ticket, priority, call, patience);
+    }
+
+    pub(crate) fn put_config_in_force(&mut self, before: conf::Version) {
+        let version = self.config.follower.version();
+        self.check(version >= before, Violation::ConfigReverted);
+        if version == before {
+            return;
+        }
+        let config = Arc::new(self.config().clone());
+        self.out.push(Output::Config(config));
+        self.refresh_homes();
+        self.push_config(before);
+    }
+
+    fn on_store(&mut self, id: u64, answer: store::Answer) {
+        if let Some(done) = self.store.answer(self.now, id, answer) {
+            self.on_store_done(done);
+        }
+    }
+
+    fn on_store_done(&mut self, done: store::Done) {
+        let Some(owner) = self.owners.remove(&done.ticket) else {
+            return;
+        };
+        match owner {
+            Owner::Ledger(ticket) => {
+                let effects = self.ledger.answer(self.now, ticket, done.answer);
+                self.carry_out(effects);
+            }
+            Owner::Config(purpose) => self.on_config_answer(purpose, done.answer),
+            Owner::Lease => self.reconciler.answer(self.now, done.answer),
+        }
+    }
+
+    fn on_leave(&mut self) {
+        if self.leaving {
+            self.log("core", true, "Already leaving.".into());
+            return;
+        }
+        self.leaving = true;
+        self.members.leave();
+        self.log("core", false, "Leaving: no new work for others.".into());
+        self.refresh_homes();
+    }
+
+    fn on_stop(&mut self) {
+        let sends = self.members.farewell();
+        self.send_all(sends);
+    }
+
+    /// Does everything that is due.
+    fn pass_time(&mut self) {
+        self.tick_members();
+        self.tick_jobs();
+        self.tick_home();
+        self.tick_endings();
+        let effects = self.ledger.tick(self.now, self.wall);
+        self.carry_out(effects);
+        self.tick_config();
+        self.tick_orders();
+        for done in self.store.expired(self.now) {
+            self.on_store_done(done);
+        }
+        for sent in self.store.ready(self.now) {
+            self.out.push(Output::Store(sent));
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/job.rs
@@ -0,0 +1,215 @@
+//! One request.
+
+use std::time::Duration;
+
+use clock::Time;
+use conf::Route;
+use wire::AttemptId;
+use wire::InstanceId;
+use wire::Name;
+use wire::admission::AVOID_MAX;
+use wire::admission::Work;
+
+use crate::message::Request;
+
+/// What a request is doing.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Phase {
+    /// Its idempotency key is being claimed.
+    Claiming(Claiming),
+    /// Another request with its key runs; it waits for that one's answer.
+    Joining {
+        /// The instance that runs the other one.
+        owner: InstanceId,
+        /// Whether that instance was not found alive the last time.
+        missed: bool,
+    },
+    /// It asks for a place.
+    Seeking(Seeking),
+    /// It waits before it asks again.
+    Waiting,
+    /// It runs.
+    Running(Running),
+}
+
+/// A claim under way.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Claiming {
+    /// Times that the home of the shard was asked.
+    pub tries: u32,
+}
+
+/// A search for a place.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Seeking {
+    /// The ask that may wait.
+    pub main: Option<Asked>,
+    /// An ask elsewhere for a place at once, while the main one waits.
+    pub spill: Option<Asked>,
+    /// Data centres that denied a place.
+    pub tried: Vec<Name>,
+    /// Longest wait that was named with a denial.
+    pub retry: Duration,
+    /// Why a place was last denied.
+    pub denial: Option<wire::admission::Denial>,
+}
+
+/// An ask that was sent.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Asked {
+    /// The attempt that would use the place.
+    pub attempt: AttemptId,
+    /// Data centre of the home.
+    pub data_centre: Name,
+    /// The home.
+    pub home: InstanceId,
+    /// When it was last sent.
+    pub sent: Time,
+    /// Times that it was sent without an answer.
+    pub tries: u32,
+    /// Whether the home answered that it waits.
+    pub queued: bool,
+}
+
+/// An attempt that was dispatched.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Running {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// The backend server.
+    pub server: Name,
+    /// Its life.
+    pub boot: u64,
+    /// Its data centre.
+    pub data_centre: Name,
+    /// When it was dispatched.
+    pub since: Time,
+    /// Time from dispatch to the first token.
+    pub first_token: Option<Duration>,
+    /// Tokens generated.
+    pub generated: u32,
+}
+
+/// One request.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// What was asked for.
+    pub request: Request,
+    /// The route as it stood when the request came.
+    pub route: Route,
+    /// What it is doing.
+    pub phase: Phase,
+    /// When it came.
+    pub arrived: Time,
+    /// When it is given up unless it runs.
+    pub deadline: Time,
+    /// When the phase next does something by itself.
+    pub due: Time,
+    /// Whether its key is claimed by it.
+    pub claimed: bool,
+    /// Whether its caller has gone while it must go on.
+    pub orphaned: bool,
+    /// Backend servers that failed it.
+    pub avoid: Vec<Name>,
+    /// Retries so far.
+    pub retries: u32,
+    /// Attempts dispatched so far.
+    pub attempts: u32,
+    uncertain: u32,
+    delivered: u32,
+}
+
+impl Job {
+    /// Returns a job that has done nothing yet.
+    pub fn new(now: Time, request: Request, route: Route) -> Job {
+        Job {
+            deadline: now + route.deadline(),
+            request,
+            route,
+            phase: Phase::Waiting,
+            arrived: now,
+            due: now,
+            claimed: false,
+            orphaned: false,
+            avoid: Vec::new(),
+            retries: 0,
+            attempts: 0,
+            uncertain: 0,
+            delivered: 0,
+        }
+    }
+
+    /// Returns whether any attempt may have run.
+    pub fn may_have_run(&self) -> bool {
+        self.uncertain > 0
+    }
+
+    /// Returns how many tokens the caller has.
+    pub fn delivered(&self) -> u32 {
+        self.delivered
+    }
+
+    /// Returns whether another attempt may be dispatched.
+    pub fn may_dispatch(&self) -> bool {
+        self.route.idempotent || !self.may_have_run()
+    }
+
+    /// Notes that an attempt is dispatched: from here on it may have run.
+    pub fn note_dispatch(&mut self) {
+        self.attempts += 1;
+        self.uncertain += 1;
+    }
+
+    /// Notes that the last attempt is proved not to have run.
+    pub fn note_not_run(&mut self) {
+        self.uncertain = self.uncertain.saturating_sub(1);
+    }
+
+    /// Notes how many tokens the caller has.
+    pub fn note_delivered(&mut self, delivered: u32) {
+        self.delivered = self.delivered.max(delivered);
+    }
+
+    /// Notes a backend server that failed it.
+    pub fn avoid(&mut self, server: &Name) {
+        if self.avoid.contains(server) {
+            return;
+        }
+        if self.avoid.len() >= AVOID_MAX {
+            self.avoid.remove(0);
+        }
+        self.avoid.push(server.clone());
+    }
+
+    /// Returns the attempt that runs.
+    pub fn running(&self) -> Option<&Running> {
+        match &self.phase {
+            Phase::Running(running) => Some(running),
+            _ => None,
+        }
+    }
+
+    /// Returns what the request brings to a backend server.
+    pub fn work(&self, hint: u32) -> Work {
+        Work {
+            organisation: self.request.organisation.clone(),
+            route: self.request.route.clone(),
+            class: self.route.class as u8,
+            prompt: self.request.prompt,
+            delivered: self.delivered,
+            hint,
+            prefixes: self.request.prefixes.clone(),
+        }
+    }
+
+    /// Returns the word for tables.
+    pub fn phase_name(&self) -> &'static str {
+        match self.phase {
+            Phase::Claiming(_) => "claiming",
+            Phase::Joining { .. } => "joining",
+            Phase::Seeking(_) => "seeking",
+            Phase::Waiting => "waiting",
+            Phase::Running(_) => "running",
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/seek.rs
@@ -0,0 +1,457 @@
+//! Asking for a place, here or in another data centre.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use admit::Verdict;
+use clock::Time;
+use conf::Name;
+use route::choice::Question;
+use route::choice::Site;
+use suspect::Standing;
+use wire::AttemptId;
+use wire::Body;
+use wire::InstanceId;
+use wire::RequestId;
+use wire::admission::Ask;
+use wire::admission::Denial;
+use wire::admission::Grant;
+
+use crate::instance::Instance;
+use crate::job::Asked;
+use crate::job::Phase;
+use crate::job::Seeking;
+use crate::outcome::Reason;
+use crate::settings::Policy;
+
+/// Time after which an unanswered ask is sent again; doubled each time.
+const ASK_RETRY: Duration = Duration::from_millis(80);
+/// Times that an ask is sent before its home counts as silent.
+const ASK_TRIES: u32 = 3;
+/// Time after which a queued ask is repeated, so that the home keeps it.
+const ASK_REFRESH: Duration = Duration::from_millis(600);
+/// Time for which a silent home is not asked.
+const SILENT_TIME: Duration = Duration::from_millis(800);
+/// Pause before looking again when there is nobody to ask.
+const NOBODY_PAUSE: Duration = Duration::from_millis(120);
+/// Time after its grant up to which a place may be used. Less than the time for which the home
+/// keeps it, by more than a frame's way.
+const GRANT_USE: Duration = Duration::from_millis(700);
+
+/// What is remembered of a home of another data centre, or of the own one.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct SiteMemory {
+    pub(crate) full_at: Option<Time>,
+    pub(crate) silent_until: Time,
+}
+
+/// Which of a job's two asks an answer is for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Side {
+    Main,
+    Spill,
+}
+
+impl Instance {
+    /// Starts the search for a place.
+    pub(crate) fn seek(&mut self, id: RequestId) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.phase = Phase::Seeking(Seeking::default());
+        if self.settings.policy == Policy::Home {
+            self.ask_next(id);
+        } else {
+            self.place_by_baseline(id);
+        }
+    }
+
+    pub(crate) fn on_seek_due(&mut self, id: RequestId) {
+        if self.settings.policy != Policy::Home {
+            self.place_by_baseline(id);
+            return;
+        }
+        let Some(Phase::Seeking(seeking)) = self.jobs.get(&id).map(|job| &job.phase) else {
+            return;
+        };
+        let Some(main) = seeking.main.clone() else {
+            self.look_again(id);
+            return;
+        };
+        if let Some(spill) = seeking.spill.clone() {
+            self.drop_late_spill(id, &spill);
+        }
+        if main.tries >= ASK_TRIES {
+            self.on_silent_home(id, &main);
+        } else {
+            self.repeat_ask(id, main);
+        }
+    }
+
+    /// Forgets the data centres that were tried and starts over.
+    fn look_again(&mut self, id: RequestId) {
+        if let Some(Phase::Seeking(seeking)) = self.jobs.get_mut(&id).map(|job| &mut job.phase) {
+            seeking.tried.clear();
+        }
+        self.ask_next(id);
+    }
+
+    fn repeat_ask(&mut self, id: RequestId, mut main: Asked) {
+        main.tries += 1;
+        main.sent = self.now;
+        let wait = if main.queued {
+            ASK_REFRESH
+        } else {
+            ASK_RETRY * 2u32.pow(main.tries.min(4))
+        };
+        let (attempt, data_centre, home) = (main.attempt, main.data_centre.clone(), main.home);
+        self.set_main(id, Some(main));
+        self.set_due(id, self.now + wait);
+        self.send_ask(id, attempt, &data_centre, home, true);
+    }
+
+    fn on_silent_home(&mut self, id: RequestId, main: &Asked) {
+        let pool = self.jobs[&id].route.pool.clone();
+        let site = self.home.site_mut(&main.data_centre, &pool);
+        site.silent_until = self.now + SILENT_TIME;
+        self.withdraw(main);
+        self.set_main(id, None);
+        self.ask_next(id);
+    }
+
+    /// Asks the next data centre, or finds that there is none.
+    fn ask_next(&mut self, id: RequestId) {
+        let Some(Phase::Seeking(seeking)) = self.jobs.get(&id).map(|job| &job.phase) else {
+            return;
+        };
+        let tried = seeking.tried.clone();
+        let pool = self.jobs[&id].route.pool.clone();
+        let sites = self.sites(&pool);
+        let Some(data_centre) = self.choose_site(&sites, &tried) else {
+            self.on_nobody_left(id, &sites, &tried);
+            return;
+        };
+        let Some(asked) = self.asked(&data_centre, &pool) else {
+            self.set_due(id, self.now + NOBODY_PAUSE);
+            return;
+        };
+        let (attempt, home) = (asked.attempt, asked.home);
+        self.attempts.insert(attempt, id);
+        self.set_main(id, Some(asked));
+        self.set_due(id, self.now + ASK_RETRY);
+        self.send_ask(id, attempt, &data_centre, home, true);
+    }
+
+    fn choose_site(&mut self, sites: &BTreeMap<Name, Site>, tried: &[Name]) -> Option<Name> {
+        let own = self.own_dc();
+        let question = Question {
+            config: self.config.follower.config(),
+            own: &own,
+            tried,
+            sites,
+            now: self.now,
+            wall: self.wall,
+        };
+        route::choice::choose(&question, &mut self.rng)
+    }
+
+    fn asked(&mut self, data_centre: &Name, pool: &Name) -> Option<Asked> {
+        let home = self.members.home(data_centre, pool)?;
+        Some(Asked {
+            attempt: self.rng.u64(1..),
+            data_centre: data_centre.clone(),
+            home,
+            sent: self.now,
+            tries: 1,
+            queued: false,
+        })
+    }
+
+    /// Decides what a job does for which no data centre is left to ask.
+    fn on_nobody_left(&mut self, id: RequestId, sites: &BTreeMap<Name, Site>, tried: &[Name]) {
+        let Some(Phase::Seeking(seeking)) = self.jobs.get(&id).map(|job| &job.phase) else {
+            return;
+        };
+        let retry = seeking.retry;
+        let silent = sites
+            .iter()
+            .any(|(name, site)| site.servers > 0 && !site.reachable && !tried.contains(name));
+        let final_denial = match seeking.denial {
+            Some(Denial::Full) => Some(Reason::Overloaded),
+            Some(Denial::Limited) => Some(Reason::Limited),
+            _ => None,
+        };
+        if silent && self.place_by_fallback(id) {
+            return;
+        }
+        match final_denial {
+            Some(reason) if !silent => self.end(id, reason, Some(retry)),
+            _ => self.set_due(id, self.now + NOBODY_PAUSE),
+        }
+    }
+
+    /// Returns what is known of each data centre for a pool.
+    pub(crate) fn sites(&self, pool: &str) -> BTreeMap<Name, Site> {
+        let mut sites: BTreeMap<Name, Site> = BTreeMap::new();
+        let config = self.config();
+        let Some(found) = config.pools.get(pool) else {
+            return sites;
+        };
+        let label = if found.selector.is_empty() {
+            pool
+        } else {
+            found.selector.as_str()
+        };
+        for server in self.servers.values().filter(|server| server.label == label) {
+            let site = sites.entry(server.data_centre.clone()).or_default();
+            if self.may_take_work(&server.data_centre, &server.name) {
+                site.servers += 1;
+            }
+        }
+        for (name, site) in &mut sites {
+            let memory = self.home.site(name, pool);
+            let alive = self.members.home(name, pool).is_some();
+            site.reachable = alive && self.now >= memory.silent_until;
+            site.full_at = memory.full_at;
+        }
+        sites
+    }
+
+    fn send_ask(
+        &mut self,
+        id: RequestId,
+        attempt: AttemptId,
+        data_centre: &Name,
+        home: InstanceId,
+        may_wait: bool,
+    ) {
+        let job = &self.jobs[&id];
+        let patience = job.deadline.saturating_sub(self.now).as_millis();
+        let wait_ms = u32::try_from(patience).unwrap_or(u32::MAX);
+        let standing = self.suspects.standing(self.now, job.request.fingerprint);
+        let ask = Ask {
+            attempt,
+            pool: job.route.pool.clone(),
+            data_centre: data_centre.clone(),
+            work: job.work(self.hint(job)),
+            avoid: job.avoid.clone(),
+            suspect: standing == Standing::Suspect,
+            wait_ms: if may_wait { wait_ms } else { 0 },
+        };
+        if home == self.id() {
+            self.on_ask(home, ask);
+        } else {
+            self.send(home, Body::Ask(ask));
+        }
+    }
+
+    /// Takes a home's answer to an ask.
+    pub(crate) fn on_verdict(
+        &mut self,
+        from: InstanceId,
+        attempt: AttemptId,
+        verdict: Verdict,
+        age: Duration,
+    ) {
+        let Some((id, side)) = self.side_of(attempt) else {
+            // Too late: the job has ended, runs already, or has asked anew.
+            if let Verdict::Grant(_) = verdict {
+                self.return_grant(from, attempt);
+            }
+            return;
+        };
+        match verdict {
+            Verdict::Grant(grant) => self.on_grant(id, side, from, &grant, age),
+            Verdict::Queued { .. } => self.on_queued(id, side),
+            Verdict::Deny { denial, retry } => self.on_deny(id, side, denial, retry),
+        }
+    }
+
+    fn side_of(&self, attempt: AttemptId) -> Option<(RequestId, Side)> {
+        let id = *self.attempts.get(&attempt)?;
+        let Phase::Seeking(seeking) = &self.jobs.get(&id)?.phase else {
+            return None;
+        };
+        let is_it = |asked: &Option<Asked>| asked.as_ref().is_some_and(|a| a.attempt == attempt);
+        if is_it(&seeking.main) {
+            Some((id, Side::Main))
+        } else if is_it(&seeking.spill) {
+            Some((id, Side::Spill))
+        } else {
+            None
+        }
+    }
+
+    fn on_grant(
+        &mut self,
+        id: RequestId,
+        side: Side,
+        from: InstanceId,
+        grant: &Grant,
+        age: Duration,
+    ) {
+        let Some(asked) = self.take_side(id, side) else {
+            return;
+        };
+        let age = age + Duration::from_millis(u64::from(grant.age_ms));
+        if age < GRANT_USE {
+            // The other ask is taken back only after this one is sure to be used.
+            let other = self.other_side(id, side);
+            if self.dispatch(id, &asked.data_centre, grant) {
+                if let Some(other) = other {
+                    self.withdraw(&other);
+                }
+                return;
+            }
+        }
+        self.return_grant(from, grant.attempt);
+        if side == Side::Main {
+            self.ask_next(id);
+        }
+    }
+
+    fn on_queued(&mut self, id: RequestId, side: Side) {
+        if side == Side::Spill {
+            return;
+        }
+        if let Some(Phase::Seeking(seeking)) = self.jobs.get_mut(&id).map(|job| &mut job.phase)
+            && let Some(main) = &mut seeking.main
+        {
+            main.queued = true;
+            main.tries = 0;
+        }
+        self.set_due(id, self.now + ASK_REFRESH);
+        self.spill(id);
+    }
+
+    /// Looks for a place at once in another data centre while the job waits in one.
+    fn spill(&mut self, id: RequestId) {
+        let job = &self.jobs[&id];
+        let Phase::Seeking(seeking) = &job.phase else {
+            return;
+        };
+        let Some(main) = seeking.main.clone().filter(|_| seeking.spill.is_none()) else {
+            return;
+        };
+        let pool = job.route.pool.clone();
+        let mut tried = seeking.tried.clone();
+        tried.push(main.data_centre);
+        let mut sites = self.sites(&pool);
+        sites.retain(|name, _| !self.home.was_full_lately(name, &pool, self.now));
+        let Some(data_centre) = self.choose_site(&sites, &tried) else {
+            return;
+        };
+        let Some(asked) = self.asked(&data_centre, &pool) else {
+            return;
+        };
+        let (attempt, home) = (asked.attempt, asked.home);
+        self.attempts.insert(attempt, id);
+        if let Some(Phase::Seeking(seeking)) = self.jobs.get_mut(&id).map(|job| &mut job.phase) {
+            seeking.spill = Some(asked);
+        }
+        self.send_ask(id, attempt, &data_centre, home, false);
+    }
+
+    fn drop_late_spill(&mut self, id: RequestId, spill: &Asked) {
+        if self.now.saturating_sub(spill.sent) < ASK_RETRY {
+            return;
+        }
+        self.withdraw(spill);
+        self.take_side(id, Side::Spill);
+        self.spill(id);
+    }
+
+    fn on_deny(&mut self, id: RequestId, side: Side, denial: Denial, retry: Duration) {
+        let Some(asked) = self.take_side(id, side) else {
+            return;
+        };
+        self.attempts.remove(&asked.attempt);
+        let pool = self.jobs[&id].route.pool.clone();
+        if denial == Denial::Full {
+            self.home.site_mut(&asked.data_centre, &pool).full_at = Some(self.now);
+        }
+        if side == Side::Spill {
+            self.spill(id);
+            return;
+        }
+        if let Some(Phase::Seeking(seeking)) = self.jobs.get_mut(&id).map(|job| &mut job.phase) {
+            seeking.tried.push(asked.data_centre);
+            seeking.retry = seeking.retry.max(retry);
+            // A full data centre says more about when to come back than an empty one.
+            if seeking.denial.is_none_or(|known| denial < known) {
+                seeking.denial = Some(denial);
+            }
+        }
+        self.ask_next(id);
+    }
+
+    /// An instance that was asked is not the home.
+    pub(crate) fn on_elsewhere(&mut self, attempt: AttemptId, home: InstanceId) {
+        let Some((id, Side::Main)) = self.side_of(attempt) else {
+            return;
+        };
+        let known = self.members.entry(home).is_some() && self.members.is_running(home);
+        let Some(Phase::Seeking(seeking)) = self.jobs.get_mut(&id).map(|job| &mut job.phase) else {
+            return;
+        };
+        let Some(main) = &mut seeking.main else {
+            return;
+        };
+        // A hint that leads back to the same instance is no hint.
+        if !known || home == main.home || main.tries >= ASK_TRIES {
+            return;
+        }
+        main.home = home;
+        main.queued = false;
+        let main = main.clone();
+        self.repeat_ask(id, main);
+    }
+
+    fn set_main(&mut self, id: RequestId, main: Option<Asked>) {
+        if let Some(Phase::Seeking(seeking)) = self.jobs.get_mut(&id).map(|job| &mut job.phase) {
+            seeking.main = main;
+        }
+    }
+
+    fn take_side(&mut self, id: RequestId, side: Side) -> Option<Asked> {
+        let Phase::Seeking(seeking) = &mut self.jobs.get_mut(&id)?.phase else {
+            return None;
+        };
+        match side {
+            Side::Main => seeking.main.take(),
+            Side::Spill => seeking.spill.take(),
+        }
+    }
+
+    fn other_side(&self, id: RequestId, side: Side) -> Option<Asked> {
+        let Phase::Seeking(seeking) = &self.jobs.get(&id)?.phase else {
+            return None;
+        };
+        match side {
+            Side::Main => seeking.spill.clone(),
+            Side::Spill => seeking.main.clone(),
+        }
+    }
+
+    /// Takes back all asks of a job.
+    pub(crate) fn withdraw_all(&mut self, id: RequestId) {
+        for side in [Side::Main, Side::Spill] {
+            if let Some(asked) = self.take_side(id, side) {
+                self.withdraw(&asked);
+            }
+        }
+    }
+
+    fn withdraw(&mut self, asked: &Asked) {
+        self.attempts.remove(&asked.attempt);
+        self.return_grant(asked.home, asked.attempt);
+    }
+
+    fn return_grant(&mut self, home: InstanceId, attempt: AttemptId) {
+        if home == self.id() {
+            self.on_withdraw(attempt);
+        } else {
+            self.send(home, Body::Withdraw { attempt });
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/serve.rs
@@ -0,0 +1,456 @@
+//! A request from its arrival to its end.
+
+use std::time::Duration;
+
+use burn::Sample;
+use clock::Time;
+use conf::Delivery;
+use suspect::Standing;
+use wire::AttemptId;
+use wire::Name;
+use wire::RequestId;
+use wire::admission::End;
+use wire::admission::Grant;
+use wire::ledger::Answer;
+
+use crate::instance::Instance;
+use crate::instance::Violation;
+use crate::job::Claiming;
+use crate::job::Job;
+use crate::job::Phase;
+use crate::job::Running;
+use crate::message::Dispatch;
+use crate::message::Event;
+use crate::message::Output;
+use crate::message::Request;
+use crate::outcome::Outcome;
+use crate::outcome::Reason;
+use crate::outcome::Refusal;
+
+/// Expected output of a route whose outputs were never seen, in tokens.
+const HINT_DEFAULT: u32 = 128;
+/// Pause before a retry is tried again for which there was no budget.
+const BUDGET_PAUSE: Duration = Duration::from_millis(150);
+/// Pause before a suspect is tried again, so that strikes of the same crash have spread.
+const SUSPECT_PAUSE: Duration = Duration::from_millis(300);
+
+impl Instance {
+    pub(crate) fn on_request(&mut self, request: Request) {
+        let id = request.id;
+        if self.jobs.contains_key(&id) {
+            return;
+        }
+        let found = self.config().routes.get(&request.route).cloned();
+        let organisation = &request.organisation;
+        let allowed = |route: &conf::Route| {
+            route.organisations.is_empty() || route.organisations.contains(organisation)
+        };
+        let Some(route) = found.filter(allowed) else {
+            let outcome = Outcome::Refused(Refusal::of_newcomer(Reason::NoRoute));
+            self.out.push(Output::Finish {
+                request: id,
+                outcome,
+            });
+            return;
+        };
+        self.budgets.entry(route.pool.clone()).or_default().earn();
+        let mut job = Job::new(self.now, request, route);
+        let claims = !job.route.idempotent && job.request.key.is_some();
+        if claims {
+            job.phase = Phase::Claiming(Claiming::default());
+        }
+        let fingerprint = job.request.fingerprint;
+        self.jobs.insert(id, job);
+        if self.suspects.standing(self.now, fingerprint) == Standing::Barred {
+            self.end_barred(id);
+        } else if claims {
+            self.send_claim(id);
+        } else {
+            self.seek(id);
+        }
+    }
+
+    pub(crate) fn on_gone(&mut self, id: RequestId) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if job.route.keep_running || (job.claimed && job.may_have_run()) {
+            // Work that must not run twice is not cut off half way: its outcome is recorded.
+            job.orphaned = true;
+            return;
+        }
+        self.stop_running(id, End::Cancelled);
+        let reason = Reason::Lost;
+        self.forget(id, reason);
+    }
+
+    /// Gives the job's timer a new time.
+    pub(crate) fn set_due(&mut self, id: RequestId, due: Time) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            self.timers.remove(&(job.due, id));
+            job.due = due.min(job.deadline.max(self.now));
+            self.timers.insert((job.due, id));
+        }
+    }
+
+    pub(crate) fn clear_due(&mut self, id: RequestId) {
+        if let Some(job) = self.jobs.get(&id) {
+            self.timers.remove(&(job.due, id));
+        }
+    }
+
+    pub(crate) fn tick_jobs(&mut self) {
+        while let Some((due, id)) = self.timers.first().copied() {
+            if due > self.now {
+                break;
+            }
+            self.timers.pop_first();
+            self.on_due(id);
+        }
+    }
+
+    fn on_due(&mut self, id: RequestId) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let late = self.now >= job.deadline;
+        match &job.phase {
+            Phase::Running(_) => {}
+            _ if late => self.give_up(id),
+            Phase::Claiming(_) | Phase::Joining { .. } => self.send_claim(id),
+            Phase::Seeking(_) => self.on_seek_due(id),
+            Phase::Waiting => self.retry(id),
+        }
+    }
+
+    /// Ends a job whose deadline has passed before it found a place.
+    fn give_up(&mut self, id: RequestId) {
+        let reason = match &self.jobs[&id].phase {
+            Phase::Claiming(_) => Reason::NoLedger,
+            Phase::Joining { .. } => Reason::KeyInUse,
+            Phase::Seeking(seeking) => match seeking.denial {
+                Some(wire::admission::Denial::Limited) => Reason::Limited,
+                Some(wire::admission::Denial::NoServer) | None => Reason::NoServer,
+                Some(_) => Reason::Overloaded,
+            },
+            _ => Reason::RetriesSpent,
+        };
+        self.end(id, reason, Some(Duration::from_secs(1)));
+    }
+
+    /// Dispatches an attempt to the server that it was granted, if that may still take work.
+    pub(crate) fn dispatch(&mut self, id: RequestId, data_centre: &Name, grant: &Grant) -> bool {
+        if !self.may_take_work(data_centre, &grant.server) {
+            return false;
+        }
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return false;
+        };
+        let may_dispatch = job.may_dispatch();
+        let rerun = job.attempts > 0;
+        job.note_dispatch();
+        job.phase = Phase::Running(Running {
+            attempt: grant.attempt,
+            server: grant.server.clone(),
+            boot: grant.boot,
+            data_centre: data_centre.clone(),
+            since: self.now,
+            first_token: None,
+            generated: 0,
+        });
+        self.check(may_dispatch, Violation::RepeatedRun);
+        self.clear_due(id);
+        self.attempts.insert(grant.attempt, id);
+        self.out.push(Output::Dispatch(Dispatch {
+            request: id,
+            attempt: grant.attempt,
+            server: grant.server.clone(),
+            address: grant.address,
+            boot: grant.boot,
+            priority: grant.priority,
+            rerun,
+        }));
+        let eligible = self.may_take_work(data_centre, &grant.server);
+        self.check(eligible, Violation::WorkAfterWithdrawal);
+        self.note_started(id);
+        true
+    }
+
+    /// Returns whether a server may get new work at this moment, by all that this instance knows.
+    pub(crate) fn may_take_work(&self, data_centre: &str, server: &str) -> bool {
+        let config = self.config();
+        let listed = self.servers.get(server).is_some_and(|found| !found.leaving);
+        route::choice::in_service(config, data_centre)
+            && !config.drained.contains(server)
+            && !self.home.is_leaving(server)
+            && listed
+    }
+
+    pub(crate) fn on_event(&mut self, attempt: AttemptId, event: Event) {
+        let Some(id) = self.attempts.get(&attempt).copied() else {
+            return;
+        };
+        let is_current = self.jobs[&id].running().is_some_and(|r| r.attempt == attempt);
+        if !is_current {
+            return;
+        }
+        match event {
+            Event::Started => self.on_first_token(id),
+            Event::Progress {
+                generated,
+                delivered,
+            } => self.on_progress(id, generated, delivered),
+            Event::Complete {
+                generated,
+                gap,
+                answer,
+            } => self.on_complete(id, generated, gap, answer),
+            Event::Refused => self.on_not_run(id, End::Refused),
+            Event::Unreachable => self.on_not_run(id, End::Unreachable),
+            Event::Lost { crashed, delivered } => self.on_lost(id, crashed, delivered),
+            Event::Broken { delivered } => {
+                self.note_delivered(id, delivered);
+                self.stop_running(id, End::Cancelled);
+                self.end(id, Reason::Diverged, None);
+            }
+        }
+    }
+
+    fn on_first_token(&mut self, id: RequestId) {
+        let now = self.now;
+        if let Some(Phase::Running(running)) = self.jobs.get_mut(&id).map(|job| &mut job.phase) {
+            running.first_token.get_or_insert(now - running.since);
+        }
+    }
+
+    fn on_progress(&mut self, id: RequestId, generated: u32, delivered: u32) {
+        self.note_delivered(id, delivered);
+        if let Some(Phase::Running(running)) = self.jobs.get_mut(&id).map(|job| &mut job.phase) {
+            running.generated = running.generated.max(generated);
+        }
+        self.note_progress(id);
+    }
+
+    fn note_delivered(&mut self, id: RequestId, delivered: u32) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.note_delivered(delivered);
+        }
+    }
+
+    fn on_complete(&mut self, id: RequestId, generated: u32, gap: Duration, answer: Answer) {
+        let job = &self.jobs[&id];
+        let request = job.request.clone();
+        let objective = job.route.objective;
+        let running = job.running().cloned();
+        let arrived = job.arrived;
+        self.lengths
+            .add(&request.route, &request.organisation, generated);
+        self.suspects.clear(self.now, request.fingerprint);
+        if let Some(Phase::Running(running)) = self.jobs.get_mut(&id).map(|job| &mut job.phase) {
+            running.generated = generated;
+        }
+        self.note_ended(id, End::Complete);
+        if let Some(running) = running {
+            let first = running.since + running.first_token.unwrap_or_default() - arrived;
+            let sample = Sample {
+                late_first_token: first > Duration::from_millis(objective.first_token_ms),
+                gaps: gap > Duration::from_millis(objective.token_gap_ms),
+                failed: false,
+            };
+            self.note_sample(&request, &running.server, sample);
+        }
+        if self.jobs[&id].claimed {
+            self.settle(id, wire::ledger::Outcome::Done(answer));
+        }
+        self.remove(id);
+    }
+
+    fn note_sample(&mut self, request: &Request, place: &str, sample: Sample) {
+        let (route, organisation) = (&request.route, &request.organisation);
+        self.meter.note(self.now, route, organisation, place, sample);
+    }
+
+    /// The server proved that it did not run the attempt.
+    fn on_not_run(&mut self, id: RequestId, end: End) {
+        self.note_ended(id, end);
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.note_not_run();
+        if let Some(server) = job.running().map(|running| running.server.clone()) {
+            job.avoid(&server);
+        }
+        self.wait_for_retry(id, Duration::ZERO);
+    }
+
+    /// The server lost the attempt while it ran.
+    fn on_lost(&mut self, id: RequestId, crashed: bool, delivered: u32) {
+        self.note_delivered(id, delivered);
+        let end = if crashed { End::Crashed } else { End::Cancelled };
+        self.note_ended(id, end);
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let fingerprint = job.request.fingerprint;
+        let running = job.running().cloned();
+        if let Some(running) = running {
+            job.avoid(&running.server);
+            if crashed {
+                let hash = suspect::server_hash(&running.server, running.boot);
+                self.suspects.strike(self.now, fingerprint, hash);
+            }
+        }
+        let job = &self.jobs[&id];
+        if !job.route.idempotent || (!job.route.rerun && delivered > 0) {
+            self.end(id, Reason::Lost, None);
+        } else if self.suspects.standing(self.now, fingerprint) == Standing::Barred {
+            self.end_barred(id);
+        } else {
+            let pause = if crashed {
+                SUSPECT_PAUSE
+            } else {
+                Duration::ZERO
+            };
+            self.wait_for_retry(id, pause);
+        }
+    }
+
+    fn end_barred(&mut self, id: RequestId) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            // It did run, by this caller's or an earlier sending.
+            job.note_dispatch();
+        }
+        self.end(id, Reason::Barred, Some(suspect::MEMORY));
+    }
+
+    fn wait_for_retry(&mut self, id: RequestId, pause: Duration) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if let Some(running) = job.running() {
+            self.attempts.remove(&running.attempt);
+        }
+        job.phase = Phase::Waiting;
+        // The wait for a place starts anew; the time that it ran does not count against it.
+        job.deadline = self.now + job.route.deadline();
+        let retries = job.retries;
+        let backoff = route::retry::backoff(retries, &mut self.rng);
+        self.set_due(id, self.now + pause + backoff);
+    }
+
+    /// Tries again, if the pool's retry budget allows it now.
+    fn retry(&mut self, id: RequestId) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let fingerprint = job.request.fingerprint;
+        let pool = job.route.pool.clone();
+        if self.suspects.standing(self.now, fingerprint) == Standing::Barred {
+            self.end_barred(id);
+            return;
+        }
+        if !self.budgets.entry(pool).or_default().spend() {
+            self.set_due(id, self.now + BUDGET_PAUSE);
+            return;
+        }
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.retries += 1;
+        }
+        self.seek(id);
+    }
+
+    /// Moves an answer that would not end in time to another server.
+    pub(crate) fn move_away(&mut self, server: &str) {
+        let movable = |job: &Job| {
+            let here = job.running().is_some_and(|running| running.server == server);
+            here && job.route.idempotent
+                && job.route.delivery == Delivery::Whole
+                && job.delivered() == 0
+        };
+        let ids: Vec<RequestId> = self
+            .jobs
+            .values()
+            .filter(|job| movable(job))
+            .map(|job| job.request.id)
+            .collect();
+        for id in ids {
+            self.stop_running(id, End::Cancelled);
+            self.wait_for_retry(id, Duration::ZERO);
+        }
+    }
+
+    /// Stops what a job has running or asked for.
+    fn stop_running(&mut self, id: RequestId, end: End) {
+        let running = self.jobs[&id].running().map(|running| running.attempt);
+        if let Some(attempt) = running {
+            self.out.push(Output::Cancel {
+                request: id,
+                attempt,
+            });
+            self.note_ended(id, end);
+        }
+        self.withdraw_all(id);
+    }
+
+    /// Ends a job that is not served, and tells its caller at once.
+    pub(crate) fn end(&mut self, id: RequestId, reason: Reason, retry: Option<Duration>) {
+        let Some(job) = self.jobs.get(&id) else {
+            self.check(false, Violation::EndedTwice);
+            return;
+        };
+        let mut outcome = Outcome::of_unserved(job, reason, retry);
+        if matches!(reason, Reason::KeyInUse | Reason::KeyUnknown) {
+            // Not this sending, but an earlier one with its key has run or may have.
+            outcome = Outcome::Failed(crate::outcome::Failure {
+                reason,
+                delivered: 0,
+                retry,
+            });
+        }
+        self.finish(id, outcome, reason);
+    }
+
+    pub(crate) fn finish(&mut self, id: RequestId, outcome: Outcome, reason: Reason) {
+        let request = self.jobs[&id].request.clone();
+        let sample = Sample {
+            failed: !matches!(outcome, Outcome::Recorded(_)) && reason != Reason::Limited,
+            ..Sample::default()
+        };
+        let own = self.own_dc();
+        self.note_sample(&request, &own, sample);
+        self.out.push(Output::Finish {
+            request: id,
+            outcome,
+        });
+        self.withdraw_all(id);
+        self.forget(id, reason);
+    }
+
+    /// Removes a job and records how its claimed key ended.
+    fn forget(&mut self, id: RequestId, reason: Reason) {
+        let job = &self.jobs[&id];
+        let claiming = matches!(job.phase, Phase::Claiming(_) | Phase::Joining { .. });
+        let owns_key = job.claimed || claiming;
+        if owns_key && !job.may_have_run() {
+            self.settle(id, wire::ledger::Outcome::Released);
+        } else if job.claimed && reason != Reason::KeyUnknown {
+            self.settle(id, wire::ledger::Outcome::Unknown);
+        }
+        self.remove(id);
+    }
+
+    fn remove(&mut self, id: RequestId) {
+        self.clear_due(id);
+        self.jobs.remove(&id);
+        self.attempts.retain(|_, request| *request != id);
+    }
+
+    /// Returns the expected output of a request, in tokens.
+    pub(crate) fn hint(&self, job: &Job) -> u32 {
+        let request = &job.request;
+        let known = self
+            .lengths
+            .rest(&request.route, &request.organisation, 0, 0.75, HINT_DEFAULT);
+        request.limit.map_or(known, |limit| known.min(limit))
+    }
+}
--- /dev/null
+++ b/crates/core/src/settings.rs
@@ -0,0 +1,93 @@
+//! What an instance is told at its start.
+
+use std::fmt;
+use std::str::FromStr;
+
+use wire::Name;
+use wire::gossip::Entry;
+
+/// How a backend server is chosen.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Policy {
+    /// By the pool's home, which knows what runs.
+    #[default]
+    Home,
+    /// Each instance takes the servers in turn.
+    RoundRobin,
+    /// Each instance takes the server with the least reported load.
+    LeastLoaded,
+    /// Each instance has an equal share of each server of its data centre.
+    StaticShare,
+}
+
+impl Policy {
+    /// All policies with their names.
+    pub const ALL: [(&'static str, Policy); 4] = [
+        ("home", Policy::Home),
+        ("round-robin", Policy::RoundRobin),
+        ("least-loaded", Policy::LeastLoaded),
+        ("static-share", Policy::StaticShare),
+    ];
+}
+
+impl fmt::Display for Policy {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let found = Policy::ALL.iter().find(|(_, policy)| policy == self);
+        f.write_str(found.map_or("home", |(name, _)| name))
+    }
+}
+
+impl FromStr for Policy {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Policy, String> {
+        let found = Policy::ALL.iter().find(|(name, _)| *name == text);
+        found.map(|(_, policy)| *policy).ok_or_else(|| {
+            let names: Vec<&str> = Policy::ALL.iter().map(|(name, _)| *name).collect();
+            format!("unknown policy '{text}'; known are {}", names.join(", "))
+        })
+    }
+}
+
+/// What an instance is told at its start.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// How others find it. Its id is this life's incarnation.
+    pub own: Entry,
+    /// Seed of all its random choices.
+    pub seed: u64,
+    /// How backend servers are chosen.
+    pub policy: Policy,
+    /// Shards of the ledger. All instances must have the same number.
+    pub shards: u32,
+    /// Its share of the store's rates.
+    pub store: store::Limits,
+    /// Distinct crashed servers that bar a request.
+    pub strikes: usize,
+    /// Whether a violated invariant panics, as in tests, or is counted.
+    pub strict: bool,
+}
+
+impl Settings {
+    /// Returns settings for examples and tests.
+    pub fn example(name: &str, data_centre: &str, id: u64) -> Settings {
+        let port = 10_000 + (id % 20_000) as u16;
+        let address = ([127, 0, 0, 1], port).into();
+        Settings {
+            own: Entry {
+                id,
+                name: Name::from(name),
+                data_centre: Name::from(data_centre),
+                peers: address,
+                callers: address,
+                operators: address,
+            },
+            seed: id,
+            policy: Policy::Home,
+            shards: 16,
+            store: store::Limits::default(),
+            strikes: suspect::LIMIT_DEFAULT,
+            strict: true,
+        }
+    }
+}
--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -201,6 +201,15 @@
         rendezvous::first(key, self.live(data_centre))
     }
 
+    /// Returns the instance of all data centres that decides for a key.
+    pub fn home_of_all(&self, key: &str) -> Option<InstanceId> {
+        let live = self
+            .rumours()
+            .filter(|rumour| matches!(rumour.state, State::Alive | State::Suspect))
+            .map(|rumour| rumour.entry.id);
+        rendezvous::first(key, live)
+    }
+
     /// Returns whether this instance is among the first few of its data centre for a key.
     pub fn is_among_first(&self, key: &str, count: usize) -> bool {
         let live = self.live(&self.own.entry.data_centre);
--- /dev/null
+++ b/crates/soak/src/verdict.rs
@@ -0,0 +1,179 @@
+//! What must hold on the way and in the end.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use standin::token;
+use stream::Relay;
+use wigeon_core::Refusal;
+use wigeon_core::outcome::Reason;
+use wire::Name;
+use wire::RequestId;
+
+use crate::Outcome;
+use crate::world::Backend;
+use crate::world::World;
+
+/// Time after which a data centre that was taken out gets no new work.
+const WITHDRAWAL: Duration = Duration::from_secs(3);
+
+/// Checks that a data centre may get new work. An instance that is cut off from the store and from
+/// all others can't know, and neither can one that was just paused until it has heard from somebody.
+pub fn check_start(world: &mut World, centre: &Name, node: usize) {
+    let of_centre = |line: &str| line.ends_with(&format!("data-centre {centre}"));
+    let last = world.accepted.iter().rfind(|(_, line)| of_centre(line));
+    let Some((at, line)) = last else {
+        return;
+    };
+    let out = line.starts_with("take out") && world.now > *at + WITHDRAWAL;
+    let cut = world.cut_off.contains(&world.nodes[node].data_centre) || !world.cuts.is_empty();
+    if out && !cut && !world.platform.faults.down {
+        let text = format!("work for {centre} from i{node} after it was taken out");
+        world.broken.push(text);
+    }
+}
+
+/// Checks that an answer is whole and of one generation.
+pub fn check_answer(world: &mut World, number: u64, relay: &Relay) {
+    let Some(caller) = world.callers.get_mut(&number) else {
+        return;
+    };
+    caller.answered = true;
+    if matches!(caller.route, "status" | "mark") {
+        return;
+    }
+    let marker = caller.marker;
+    let generation = relay.generation().unwrap_or(0);
+    let expected = |index: usize| token::text(&marker, generation, index as u32);
+    let same = relay.tokens().iter().enumerate().all(|(index, text)| *text == expected(index));
+    let whole = relay.tokens().len() == marker.length as usize;
+    if !same || !whole {
+        let text = format!("the answer to {number:x} is not whole or not of one generation");
+        world.broken.push(text);
+    }
+}
+
+/// Checks that a refused request was not run by this sending.
+pub fn check_refusal(world: &mut World, number: u64, request: RequestId, refusal: &Refusal) {
+    if refusal.reason() == Reason::Barred {
+        world.broken.push(format!("request {number:x} was barred and told that it did not run"));
+    }
+    let sends = world.callers[&number].sends;
+    let first = request >> 32 == 1 && sends == 1;
+    if first && starts_of(world, number) > 0 {
+        world.broken.push(format!("request {number:x} ran and was told that it did not"));
+    }
+}
+
+fn starts_of(world: &World, number: u64) -> usize {
+    world
+        .servers
+        .values()
+        .map(|server| match &server.backend {
+            Backend::Engine(engine) => {
+                engine.record.starts.iter().filter(|start| start.1 == number).count()
+            }
+            Backend::Plain(plain) => {
+                plain.record.starts.iter().filter(|start| start.1 == number).count()
+            }
+        })
+        .sum()
+}
+
+/// Judges a run that has become quiet.
+pub fn judge(world: &mut World) -> Outcome {
+    check_once(world);
+    check_cold(world);
+    check_poison(world);
+    check_quiet(world);
+    check_versions(world);
+    Outcome {
+        broken: std::mem::take(&mut world.broken),
+        trace: world.trace.iter().cloned().collect(),
+        requests: world.callers.len(),
+        answered: world.callers.values().filter(|caller| caller.answered).count(),
+    }
+}
+
+fn check_once(world: &mut World) {
+    let marks: Vec<u64> = world
+        .callers
+        .iter()
+        .filter(|(_, caller)| caller.once)
+        .map(|(number, _)| *number)
+        .collect();
+    for number in marks {
+        let runs = starts_of(world, number);
+        if runs > 1 {
+            world.broken.push(format!("request {number:x} must run once and ran {runs} times"));
+        }
+    }
+}
+
+fn check_cold(world: &mut World) {
+    let over: BTreeMap<Name, u64> = world
+        .servers
+        .iter()
+        .map(|(name, server)| {
+            let count = match &server.backend {
+                Backend::Engine(engine) => engine.record.over_cold,
+                Backend::Plain(plain) => plain.record.over_cold,
+            };
+            (name.clone(), count)
+        })
+        .filter(|(_, count)| *count > 0)
+        .collect();
+    if !over.is_empty() {
+        world.broken.push(format!("cold servers got more than they bear: {over:?}"));
+    }
+}
+
+fn check_poison(world: &mut World) {
+    let poison: Vec<u64> = world
+        .callers
+        .iter()
+        .filter(|(_, caller)| caller.marker.poison)
+        .map(|(number, _)| *number)
+        .collect();
+    for number in poison {
+        let runs = starts_of(world, number);
+        if runs > 2 {
+            world.broken.push(format!("request {number:x} crashed {runs} servers"));
+        }
+    }
+}
+
+/// Checks that no instance holds a request for ever, and that every caller was told something.
+fn check_quiet(world: &mut World) {
+    for index in 0..world.nodes.len() {
+        let jobs = world.nodes[index].instance.jobs().count();
+        if jobs > 0 {
+            let phases: Vec<String> = world.nodes[index]
+                .instance
+                .jobs()
+                .map(|job| format!("{:x} {}", job.request.id, job.phase_name()))
+                .collect();
+            world.broken.push(format!("i{index} still has {phases:?}"));
+        }
+    }
+    let untold: Vec<u64> = world
+        .callers
+        .iter()
+        .filter(|(_, caller)| !caller.answered && caller.told.is_empty())
+        .map(|(number, _)| *number)
+        .collect();
+    if !untold.is_empty() {
+        world.broken.push(format!("callers were told nothing: {untold:x?}"));
+    }
+}
+
+fn check_versions(world: &mut World) {
+    let versions: Vec<u64> = world
+        .nodes
+        .iter()
+        .map(|node| node.instance.config().version)
+        .collect();
+    if versions.iter().any(|version| *version != versions[0]) {
+        world.broken.push(format!("versions in force differ: {versions:?}"));
+    }
+}
--- /dev/null
+++ b/crates/standin/src/http.rs
@@ -0,0 +1,1 @@
+//! All of them on sockets.
--- a/crates/wire/src/ledger.rs
+++ b/crates/wire/src/ledger.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::InstanceId;
 use crate::Key;
 use crate::RequestId;
 
@@ -16,6 +17,8 @@
     pub key: Key,
     /// The request that would run.
     pub claim: RequestId,
+    /// The instance that would run it.
+    pub owner: InstanceId,
     /// Time for which the key is remembered, in seconds.
     pub retention_s: u32,
 }
@@ -27,8 +30,11 @@
     Fresh,
     /// Another request with this key has ended, with this answer.
     Done(Answer),
-    /// Another request with this key runs, or its outcome is not known.
-    Taken,
+    /// Another request with this key runs, unless its instance has died.
+    Taken {
+        /// The instance that runs it.
+        owner: InstanceId,
+    },
     /// Another request with this key ran and nobody knows how it ended.
     Unknown,
     /// The store can't be reached; nothing was run.
