--- a/crates/admit/src/cell.rs
+++ b/crates/admit/src/cell.rs
@@ -10,6 +10,7 @@
 use length::Estimator;
 use route::prefix;
 use wire::AttemptId;
+use wire::BootId;
 use wire::InstanceId;
 use wire::Name;
 use wire::admission::Ask;
@@ -277,9 +278,10 @@
         self.prefixes.events(name, boot, first, events);
     }
 
-    /// Notes that a server is about to go.
-    pub fn leaving(&mut self, name: &str) {
-        if let Some(server) = self.servers.get_mut(name) {
+    /// Notes that one life of a server is about to go.
+    pub fn leaving(&mut self, name: &str, boot: BootId) {
+        let is_it = |server: &&mut Server| server.boot() == boot || server.boot() == 0;
+        if let Some(server) = self.servers.get_mut(name).filter(is_it) {
             server.leave();
         }
     }
--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -5,16 +5,16 @@
 use admit::Verdict;
 use member::Send;
 use wire::Body;
+use wire::Fingerprint;
 use wire::Frame;
 use wire::InstanceId;
 use wire::gossip::Gossip;
+use wire::gossip::State;
+use wire::gossip::Strike;
 
 use crate::instance::Instance;
 use crate::message::Output;
 
-/// Leaving servers named in one frame.
-const LEAVING_MAX: usize = 8;
-
 impl Instance {
     pub(crate) fn on_frame(&mut self, frame: Frame) {
         let age = self.skew.age(frame.from, frame.wall_ms, self.wall);
@@ -41,6 +41,7 @@
 
     fn on_body(&mut self, from: InstanceId, body: Body, age: Duration) {
         match body {
+            Body::Strikes { strikes } => self.hear_strikes(&strikes),
             Body::Ask(ask) => self.on_ask(from, ask),
             Body::Grant(grant) => {
                 self.on_verdict(from, grant.attempt, Verdict::Grant(grant), age);
@@ -79,15 +80,42 @@
 
     /// Takes the facts that came on a probe or its answer.
     fn hear(&mut self, from: InstanceId, gossip: &Gossip) {
-        for strike in &gossip.strikes {
-            self.suspects.hear(self.now, strike);
-        }
+        self.hear_strikes(&gossip.strikes);
         for server in &gossip.leaving {
-            self.note_leaving(server);
+            let age = Duration::from_millis(u64::from(server.age_ms));
+            let said_at = self.now.saturating_sub(age);
+            self.note_leaving(&server.server, server.boot, said_at);
         }
         self.hear_version(from, gossip.config);
     }
 
+    fn hear_strikes(&mut self, strikes: &[Strike]) {
+        for strike in strikes {
+            self.suspects.hear(self.now, strike);
+        }
+    }
+
+    /// Tells all instances of a strike at once. Crashes are rare, and a caller may send its request
+    /// again through any instance before gossip gets there.
+    pub(crate) fn tell_strike(&mut self, fingerprint: Fingerprint, server: u64) {
+        let strikes = vec![Strike {
+            fingerprint,
+            server,
+            age_s: 0,
+        }];
+        let own = self.id();
+        let others: Vec<InstanceId> = self
+            .members
+            .rumours()
+            .filter(|rumour| rumour.state != State::Dead && rumour.entry.id != own)
+            .map(|rumour| rumour.entry.id)
+            .collect();
+        for to in others {
+            let strikes = strikes.clone();
+            self.send(to, Body::Strikes { strikes });
+        }
+    }
+
     pub(crate) fn tick_members(&mut self) {
         if self.now < self.next_tick {
             return;
@@ -104,7 +132,7 @@
 
     fn set_facts(&mut self) {
         let strikes = self.suspects.gossip(self.now);
-        let leaving = self.home.leaving().take(LEAVING_MAX).cloned().collect();
+        let leaving = self.home.leaving(self.now);
         self.members.set_facts(Gossip {
             rumours: Vec::new(),
             config: self.config.follower.version(),
--- a/crates/core/src/home.rs
+++ b/crates/core/src/home.rs
@@ -1,7 +1,6 @@
 //! Deciding for a pool, and reporting to whoever does.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 use admit::Cell;
@@ -13,16 +12,17 @@
 use conf::Name;
 use wire::AttemptId;
 use wire::Body;
+use wire::BootId;
 use wire::InstanceId;
 use wire::RequestId;
 use wire::admission::Ask;
 use wire::admission::End;
 use wire::admission::Item;
 use wire::admission::Report;
+use wire::gossip::Leaving;
 
 use crate::instance::Instance;
 use crate::message::Listed;
-use crate::message::ListedServer;
 use crate::message::Output;
 use crate::message::ServerReport;
 use crate::seek::SiteMemory;
@@ -38,6 +38,13 @@
 const PROGRESS_STEP: u32 = 32;
 /// Time for which a full data centre is not asked for a place at once.
 const FULL_TIME: Duration = Duration::from_millis(400);
+/// Time for which a server's word that it is about to go is kept without being repeated. Its home
+/// repeats it with every report, so a server that has started anew is known again after this.
+const LEAVING_TIME: Duration = Duration::from_secs(8);
+/// Leaving servers named in one frame.
+const LEAVING_MAX: usize = 8;
+/// Verdicts of own cells that are taken in one turn.
+const OWN_VERDICTS_MAX: usize = 20_000;
 /// Least time between two ticks of the cells.
 const CELL_PERIOD: Duration = Duration::from_millis(20);
 
@@ -47,12 +54,19 @@
     pub(crate) cells: BTreeMap<Name, Cell>,
     reporters: BTreeMap<(Name, Name), Reporter>,
     sites: BTreeMap<(Name, Name), SiteMemory>,
-    leaving: BTreeSet<Name>,
+    leaving: BTreeMap<Name, Leaver>,
     next_probe: Time,
     next_tick: Time,
     seen_changes: u64,
 }
 
+/// A server that said that it is about to go.
+#[derive(Clone, Copy, Debug)]
+struct Leaver {
+    boot: BootId,
+    said_at: Time,
+}
+
 /// What one home is told of one pool.
 #[derive(Debug)]
 struct Reporter {
@@ -79,13 +93,32 @@
         full_at.is_some_and(|at| now.saturating_sub(at) < FULL_TIME)
     }
 
+    /// Returns whether a server said lately that it is about to go.
     pub(crate) fn is_leaving(&self, server: &str) -> bool {
-        self.leaving.contains(server)
+        self.leaving.contains_key(server)
+    }
+
+    /// Returns whether one life of a server said lately that it is about to go.
+    pub(crate) fn is_leaving_life(&self, server: &str, boot: BootId) -> bool {
+        self.leaving
+            .get(server)
+            .is_some_and(|leaver| leaver.boot == boot || boot == 0)
     }
 
-    /// Returns the servers that are known to be leaving.
-    pub(crate) fn leaving(&self) -> impl Iterator<Item = &Name> {
-        self.leaving.iter()
+    /// Returns the servers that said that they are about to go, for gossip.
+    pub(crate) fn leaving(&self, now: Time) -> Vec<Leaving> {
+        let mut leaving: Vec<Leaving> = self
+            .leaving
+            .iter()
+            .map(|(server, leaver)| Leaving {
+                server: server.clone(),
+                boot: leaver.boot,
+                age_ms: millis(now.saturating_sub(leaver.said_at)),
+            })
+            .collect();
+        leaving.sort_by_key(|one| one.age_ms);
+        leaving.truncate(LEAVING_MAX);
+        leaving
     }
 
     pub(crate) fn next_wake(&self) -> Option<Time> {
@@ -121,18 +154,7 @@
             .filter(|server| !self.servers.get(&server.name).is_some_and(|s| s.reclaimed))
             .map(|server| server.name.clone())
             .collect();
-        // The list lags: a server that said itself that it leaves is believed for as long as it is
-        // listed at the same address.
-        let servers_before = std::mem::replace(&mut self.servers, servers);
-        let same = |name: &Name, server: &ListedServer| {
-            servers_before
-                .get(name)
-                .is_some_and(|before| before.address == server.address)
-        };
-        let current = &self.servers;
-        self.home
-            .leaving
-            .retain(|name| current.get(name).is_some_and(|server| same(name, server)));
+        self.servers = servers;
         self.members.list(instances);
         self.listed = true;
         self.refresh_homes();
@@ -141,15 +163,20 @@
         }
     }
 
-    /// Notes that a server is about to go. Returns whether that is news.
-    pub(crate) fn note_leaving(&mut self, server: &Name) -> bool {
-        let news = self.servers.contains_key(server) && self.home.leaving.insert(server.clone());
-        if news {
-            for cell in self.home.cells.values_mut() {
-                cell.leaving(server);
-            }
+    /// Notes that one life of a server said that it is about to go.
+    pub(crate) fn note_leaving(&mut self, server: &Name, boot: BootId, said_at: Time) {
+        let old = self.now.saturating_sub(said_at) >= LEAVING_TIME;
+        if old || !self.servers.contains_key(server) {
+            return;
+        }
+        let leaver = Leaver { boot, said_at };
+        let known = self.home.leaving.get(server).copied();
+        if known.is_none_or(|known| known.said_at < said_at) {
+            self.home.leaving.insert(server.clone(), leaver);
+        }
+        for cell in self.home.cells.values_mut() {
+            cell.leaving(server, boot);
         }
-        news
     }
 
     /// Brings the cells in line with the configuration, the list and the membership.
@@ -188,7 +215,7 @@
             .map(|server| Listing {
                 name: server.name.clone(),
                 address: server.address,
-                leaving: server.leaving || self.home.is_leaving(&server.name),
+                leaving: server.leaving,
                 drained: out || self.config().drained.contains(&server.name),
             })
             .collect();
@@ -289,8 +316,7 @@
     fn deliver(&mut self, replies: Vec<Reply>) {
         for reply in replies {
             if reply.holder == self.id() {
-                let own = self.id();
-                self.on_verdict(own, reply.attempt, reply.verdict, Duration::ZERO);
+                self.inbox.push_back((reply.attempt, reply.verdict));
                 continue;
             }
             let attempt = reply.attempt;
@@ -310,6 +336,20 @@
         }
     }
 
+    /// Takes the verdicts of this instance's own cells. They wait in a line, since one may lead to
+    /// the next.
+    pub(crate) fn take_own_verdicts(&mut self) {
+        let own = self.id();
+        for _ in 0..OWN_VERDICTS_MAX {
+            let Some((attempt, verdict)) = self.inbox.pop_front() else {
+                return;
+            };
+            self.on_verdict(own, attempt, verdict, Duration::ZERO);
+        }
+        let left = self.inbox.len();
+        self.log("home", true, format!("{left} own verdicts wait for the next turn."));
+    }
+
     /// Takes a server's answer to a probe.
     pub(crate) fn on_report(&mut self, server: &Name, report: Option<ServerReport>) {
         let Some(report) = report else {
@@ -324,7 +364,7 @@
             self.home.leaving.remove(server);
         }
         if report.load.leaving {
-            self.note_leaving(server);
+            self.note_leaving(server, report.load.boot, self.now);
         }
         let mut replies = Vec::new();
         for cell in self.home.cells.values_mut() {
@@ -355,6 +395,10 @@
     }
 
     fn tick_cells(&mut self) {
+        let now = self.now;
+        self.home
+            .leaving
+            .retain(|_, leaver| now.saturating_sub(leaver.said_at) < LEAVING_TIME);
         let mut replies = Vec::new();
         for cell in self.home.cells.values_mut() {
             replies.extend(cell.tick(self.now));
--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -2,8 +2,10 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::VecDeque;
 use std::sync::Arc;
 
+use admit::Verdict;
 use burn::Meter;
 use clock::Time;
 use clock::Wall;
@@ -96,6 +98,7 @@
     pub(crate) meter: Meter,
     pub(crate) baseline: Baseline,
     pub(crate) leaving: bool,
+    pub(crate) inbox: VecDeque<(AttemptId, Verdict)>,
     pub(crate) out: Vec<Output>,
     violations: BTreeMap<Violation, u64>,
 }
@@ -129,6 +132,7 @@
             meter: Meter::default(),
             baseline: Baseline::default(),
             leaving: false,
+            inbox: VecDeque::new(),
             out: Vec::new(),
             violations: BTreeMap::new(),
             now: Time::ZERO,
@@ -161,7 +165,9 @@
             Input::Stop => self.on_stop(),
             Input::Wake => {}
         }
+        self.take_own_verdicts();
         self.pass_time();
+        self.take_own_verdicts();
         std::mem::take(&mut self.out)
     }
 
--- a/crates/core/src/seek.rs
+++ b/crates/core/src/seek.rs
@@ -306,7 +306,8 @@
         }
         self.return_grant(from, grant.attempt);
         if side == Side::Main {
-            self.ask_next(id);
+            // Asking at once could lead to the same grant again and again.
+            self.set_due(id, self.now + NOBODY_PAUSE);
         }
     }
 
--- a/crates/core/src/serve.rs
+++ b/crates/core/src/serve.rs
@@ -140,7 +140,7 @@
 
     /// Dispatches an attempt to the server that it was granted, if that may still take work.
     pub(crate) fn dispatch(&mut self, id: RequestId, data_centre: &Name, grant: &Grant) -> bool {
-        if !self.may_take_work(data_centre, &grant.server) {
+        if !self.may_take_life(data_centre, &grant.server, grant.boot) {
             return false;
         }
         let Some(job) = self.jobs.get_mut(&id) else {
@@ -170,7 +170,7 @@
             priority: grant.priority,
             rerun,
         }));
-        let eligible = self.may_take_work(data_centre, &grant.server);
+        let eligible = self.may_take_life(data_centre, &grant.server, grant.boot);
         self.check(eligible, Violation::WorkAfterWithdrawal);
         self.note_started(id);
         true
@@ -178,12 +178,19 @@
 
     /// Returns whether a server may get new work at this moment, by all that this instance knows.
     pub(crate) fn may_take_work(&self, data_centre: &str, server: &str) -> bool {
+        self.is_in_service(data_centre, server) && !self.home.is_leaving(server)
+    }
+
+    /// Returns the same for one life of the server.
+    fn may_take_life(&self, data_centre: &str, server: &str, boot: wire::BootId) -> bool {
+        self.is_in_service(data_centre, server) && !self.home.is_leaving_life(server, boot)
+    }
+
+    fn is_in_service(&self, data_centre: &str, server: &str) -> bool {
         let config = self.config();
         let listed = self.servers.get(server).is_some_and(|found| !found.leaving);
-        route::choice::in_service(config, data_centre)
-            && !config.drained.contains(server)
-            && !self.home.is_leaving(server)
-            && listed
+        let drained = config.drained.contains(server);
+        listed && !drained && route::choice::in_service(config, data_centre)
     }
 
     pub(crate) fn on_event(&mut self, attempt: AttemptId, event: Event) {
@@ -298,6 +305,7 @@
             if crashed {
                 let hash = suspect::server_hash(&running.server, running.boot);
                 self.suspects.strike(self.now, fingerprint, hash);
+                self.tell_strike(fingerprint, hash);
             }
         }
         let job = &self.jobs[&id];
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -127,9 +127,10 @@
 fn chill_server(world: &mut World) {
     let name = any_server(world);
     world.note(format!("{name} turns cold"));
+    let now = world.now;
     match &mut world.servers.get_mut(&name).expect("the server is known").backend {
-        Backend::Engine(engine) => engine.chill(),
-        Backend::Plain(plain) => plain.chill(),
+        Backend::Engine(engine) => engine.chill(now),
+        Backend::Plain(plain) => plain.chill(now),
     }
 }
 
--- a/crates/soak/src/relay.rs
+++ b/crates/soak/src/relay.rs
@@ -30,11 +30,16 @@
     unreached: Option<Duration>,
 }
 
+/// Time after which a call without an answer is given up.
+const CALL_TIME: Duration = Duration::from_secs(5);
+
 /// What a look at a stream led to.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Look {
     /// All is well.
     Fine,
+    /// A call that can't be read on has been silent for too long.
+    GiveUp,
     /// The connection is silent; read on from here on a new one.
     Resume {
         /// The generation.
@@ -135,7 +140,8 @@
     /// Looks whether the connection is silent.
     pub fn look(&mut self, now: Duration) -> Look {
         let Some(generation) = self.generation else {
-            return Look::Fine;
+            let silent = now.saturating_sub(self.last) >= CALL_TIME;
+            return if silent { Look::GiveUp } else { Look::Fine };
         };
         if now.saturating_sub(self.last) < self.pace.limit() {
             return Look::Fine;
--- a/crates/soak/src/verdict.rs
+++ b/crates/soak/src/verdict.rs
@@ -20,12 +20,10 @@
 /// Checks that a data centre may get new work. An instance that is cut off from the store and from
 /// all others can't know, and neither can one that was just paused until it has heard from somebody.
 pub fn check_start(world: &mut World, centre: &Name, node: usize) {
-    let of_centre = |line: &str| line.ends_with(&format!("data-centre {centre}"));
-    let last = world.accepted.iter().rfind(|(_, line)| of_centre(line));
-    let Some((at, line)) = last else {
+    let Some(since) = world.out_since.get(centre) else {
         return;
     };
-    let out = line.starts_with("take out") && world.now > *at + WITHDRAWAL;
+    let out = world.now > *since + WITHDRAWAL;
     let cut = world.cut_off.contains(&world.nodes[node].data_centre) || !world.cuts.is_empty();
     if out && !cut && !world.platform.faults.down {
         let text = format!("work for {centre} from i{node} after it was taken out");
--- a/crates/standin/src/plain.rs
+++ b/crates/standin/src/plain.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::engine::CHILL_NOTICE;
 use crate::token::Marker;
 
 /// How a plain service behaves.
@@ -47,6 +48,7 @@
     running: BTreeMap<u64, Duration>,
     next_call: u64,
     served: u64,
+    noticed_at: Duration,
 }
 
 impl Plain {
@@ -61,6 +63,7 @@
             running: BTreeMap::new(),
             next_call: 0,
             served: 0,
+            noticed_at: Duration::ZERO,
         }
     }
 
@@ -79,9 +82,11 @@
         self.served = self.settings.warm_after;
     }
 
-    /// Makes it cold again without a restart.
-    pub fn chill(&mut self) {
+    /// Makes it cold again without a restart. Nobody can know at once, so more than it bears is
+    /// recorded only after a time in which its own reports show it.
+    pub fn chill(&mut self, now: Duration) {
         self.served = 0;
+        self.noticed_at = now + CHILL_NOTICE;
     }
 
     /// Says that it is about to go.
@@ -116,7 +121,7 @@
         let cold = self.served < self.settings.warm_after;
         let bears = self.settings.cold_bear + usize::try_from(self.served).unwrap_or(0);
         let over = cold && self.running.len() + 1 > bears;
-        if over {
+        if over && now >= self.noticed_at {
             self.record.over_cold += 1;
         }
         let time = self.settings.time * if over { 10 } else { 1 };
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::BootId;
 use crate::Fingerprint;
 use crate::InstanceId;
 use crate::Name;
@@ -25,7 +26,7 @@
     /// Requests that were running on a backend server when it crashed.
     pub strikes: Vec<Strike>,
     /// Backend servers known to be leaving.
-    pub leaving: Vec<Name>,
+    pub leaving: Vec<Leaving>,
 }
 
 /// What is known of one instance.
@@ -79,3 +80,14 @@
     /// Time since the crash, in seconds.
     pub age_s: u32,
 }
+
+/// A backend server that said that it is about to go.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Leaving {
+    /// The server.
+    pub server: Name,
+    /// Its life.
+    pub boot: BootId,
+    /// Time since it said so, in milliseconds.
+    pub age_ms: u32,
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -104,6 +104,11 @@
         /// The third instance.
         target: InstanceId,
     },
+    /// Tells of requests that were running on a backend server when it crashed.
+    Strikes {
+        /// The strikes.
+        strikes: Vec<gossip::Strike>,
+    },
     /// Asks for a place on a backend server.
     Ask(admission::Ask),
     /// Says that an ask waits.
