--- a/crates/admit/src/cell.rs
+++ b/crates/admit/src/cell.rs
@@ -31,10 +31,12 @@
 
 /// Time for which a grant that nobody has reported as used is kept.
 pub const GRANT_LIFETIME: Duration = Duration::from_millis(1_500);
+/// Time after which the holder of a grant is asked what became of it.
+const UNSURE_TIME: Duration = Duration::from_millis(350);
 /// Time after which a queued ask is forgotten unless it is repeated.
 pub const ASK_SILENCE: Duration = Duration::from_millis(2_500);
 /// Time for which the work of a holder that died counts as running.
-const ORPHAN_TIME: Duration = Duration::from_secs(2);
+const ORPHAN_TIME: Duration = Duration::from_secs(5);
 /// Share of the like generations whose length the prediction covers.
 const PREDICTED_SHARE: f64 = 0.75;
 /// Time over which the rate of service is measured.
@@ -116,6 +118,7 @@
     generated: u32,
     since: Time,
     confirmed: bool,
+    asked_after: Time,
 }
 
 impl Cell {
@@ -150,7 +153,12 @@
             server.listing = listing.clone();
         }
         let listed = |name: &Name| listings.iter().any(|listing| listing.name == *name);
-        let gone: Vec<Name> = self.servers.keys().filter(|n| !listed(n)).cloned().collect();
+        let gone: Vec<Name> = self
+            .servers
+            .keys()
+            .filter(|n| !listed(n))
+            .cloned()
+            .collect();
         for name in gone {
             self.servers.remove(&name);
             self.prefixes.forget(&name);
@@ -235,7 +243,11 @@
     /// Takes an ask back, or a grant that was not used.
     pub fn withdraw(&mut self, now: Time, attempt: AttemptId) -> Vec<Reply> {
         self.queue.remove(attempt);
-        if self.placed.get(&attempt).is_some_and(|placed| !placed.confirmed) {
+        if self
+            .placed
+            .get(&attempt)
+            .is_some_and(|placed| !placed.confirmed)
+        {
             self.placed.remove(&attempt);
         }
         self.serve(now)
@@ -244,7 +256,10 @@
     /// Takes out all asks that wait, for another home.
     pub fn take_waiting(&mut self) -> Vec<(InstanceId, AttemptId)> {
         let waiting = self.queue.drain();
-        waiting.into_iter().map(|one| (one.holder, one.ask.attempt)).collect()
+        waiting
+            .into_iter()
+            .map(|one| (one.holder, one.ask.attempt))
+            .collect()
     }
 
     /// Takes a holder's report. Returns whether all attempts in it are known.
@@ -266,10 +281,16 @@
         };
         let reborn = server.report(now, load, &self.pool);
         if reborn {
-            // What the earlier life ran is gone, whatever its holders have not told yet.
+            // What was placed stays counted until its holders say that it ended: some of it may
+            // have been dispatched to the new life already.
             self.prefixes.forget(name);
-            self.placed
-                .retain(|_, placed| placed.server != name || !placed.confirmed);
+        }
+    }
+
+    /// Notes that a server did not answer when it was asked for its report.
+    pub fn unreachable(&mut self, now: Time, name: &str) {
+        if let Some(server) = self.servers.get_mut(name) {
+            server.fail(now, true, &self.pool);
         }
     }
 
@@ -286,9 +307,12 @@
         }
     }
 
-    /// Notes that a holder is dead.
-    pub fn holder_gone(&mut self, now: Time, holder: InstanceId) {
-        self.gone.entry(holder).or_insert(now);
+    /// Takes all holders that are thought dead now. One that is no longer among them was alive.
+    pub fn set_dead(&mut self, now: Time, dead: &BTreeSet<InstanceId>) {
+        self.gone.retain(|holder, _| dead.contains(holder));
+        for holder in dead {
+            self.gone.entry(*holder).or_insert(now);
+        }
     }
 
     /// Lets grants and asks expire and serves who waits.
@@ -311,15 +335,32 @@
         replies
     }
 
+    /// Returns the holders that have not said what became of a grant, and should be asked. A report
+    /// may have been lost, and a place must not be given away while it is in use.
+    pub fn silent_holders(&mut self, now: Time) -> BTreeSet<InstanceId> {
+        let mut silent = BTreeSet::new();
+        for placed in self.placed.values_mut() {
+            let waited = now.saturating_sub(placed.asked_after);
+            if !placed.confirmed && waited >= UNSURE_TIME {
+                placed.asked_after = now;
+                silent.insert(placed.holder);
+            }
+        }
+        silent
+    }
+
     /// Returns when [`Cell::tick`] is next due.
     pub fn next_wake(&self) -> Option<Time> {
         let grants = self
             .placed
             .values()
             .filter(|placed| !placed.confirmed)
-            .map(|placed| placed.since + GRANT_LIFETIME)
+            .map(|placed| (placed.asked_after + UNSURE_TIME).min(placed.since + GRANT_LIFETIME))
             .min();
-        [grants, self.queue.next_expiry()].into_iter().flatten().min()
+        [grants, self.queue.next_expiry()]
+            .into_iter()
+            .flatten()
+            .min()
     }
 
     /// Grants places to who waits, in turn, until nobody who waits can be placed.
@@ -383,6 +424,7 @@
             generated: 0,
             since: now,
             confirmed: false,
+            asked_after: now,
         };
         self.prefixes.add(&name, &ask.work.prefixes);
         self.placed.insert(ask.attempt, placed);
@@ -453,7 +495,10 @@
         let Some(capacity) = server.capacity(&self.pool) else {
             return Some(0.0);
         };
-        let mut uses: Vec<Use> = here.iter().map(|p| self.use_of(&p.work, p.generated)).collect();
+        let mut uses: Vec<Use> = here
+            .iter()
+            .map(|p| self.use_of(&p.work, p.generated))
+            .collect();
         uses.push(self.use_of(work, 0));
         let usable = server.margin.usable(capacity);
         let peak = memory::peak(&mut uses);
@@ -472,8 +517,13 @@
 
     fn rest(&self, work: &Work, generated: u32) -> u32 {
         let organisation = &work.organisation;
-        self.lengths
-            .rest(&work.route, organisation, generated, PREDICTED_SHARE, work.hint)
+        self.lengths.rest(
+            &work.route,
+            organisation,
+            generated,
+            PREDICTED_SHARE,
+            work.hint,
+        )
     }
 
     fn cost(&self, work: &Work) -> f64 {
@@ -519,7 +569,10 @@
     /// Returns the expected wait of an ask, by the rate at which others were served lately.
     fn expected_wait(&self, ask: &Ask) -> Duration {
         let organisation = &ask.work.organisation;
-        let weight = self.shares.get(organisation).map_or(1.0, |share| share.weight);
+        let weight = self
+            .shares
+            .get(organisation)
+            .map_or(1.0, |share| share.weight);
         let ahead = self.queue.ahead(ask.work.class, organisation, weight);
         if self.served_rate <= 0.0 || ahead == 0.0 {
             return Duration::ZERO;
@@ -540,7 +593,10 @@
     }
 
     fn repeat_grant(&self, now: Time, attempt: AttemptId) -> Option<Grant> {
-        let placed = self.placed.get(&attempt).filter(|placed| !placed.confirmed)?;
+        let placed = self
+            .placed
+            .get(&attempt)
+            .filter(|placed| !placed.confirmed)?;
         let server = self.servers.get(&placed.server)?;
         let age = now.saturating_sub(placed.since).as_millis();
         Some(Grant {
@@ -570,6 +626,7 @@
                     generated: *generated,
                     since: now,
                     confirmed: true,
+                    asked_after: now,
                 });
                 placed.confirmed = true;
                 placed.generated = placed.generated.max(*generated);
@@ -610,7 +667,7 @@
         match end {
             End::Complete => {
                 let first_token = Duration::from_millis(u64::from(first_ms));
-                server.prove(first_token, &self.pool);
+                server.prove(now, placed.since, first_token, &self.pool);
             }
             End::Refused => server.fail(now, false, &self.pool),
             End::Unreachable | End::Crashed => server.fail(now, true, &self.pool),
@@ -646,8 +703,6 @@
                 .is_some_and(|at| now.saturating_sub(*at) >= ORPHAN_TIME);
             !unused && !orphaned
         });
-        self.gone
-            .retain(|_, at| now.saturating_sub(*at) < ORPHAN_TIME * 2);
         self.decay_rate(now);
     }
 }
@@ -743,7 +798,9 @@
     #[test]
     fn cold_server_gets_its_cold_limit_and_grows_with_proof() {
         let mut cell = cell(1);
-        let granted: usize = (0..4).map(|a| grants(&cell.ask(START, 1, ask(a), SHARE))).sum();
+        let granted: usize = (0..4)
+            .map(|a| grants(&cell.ask(START, 1, ask(a), SHARE)))
+            .sum();
         assert_eq!(granted, 2);
         cell.report(START, 1, &ended(0, End::Complete));
         assert_eq!(grants(&cell.serve(START)), 2, "one place freed, one proved");
--- a/crates/admit/src/memory.rs
+++ b/crates/admit/src/memory.rs
@@ -72,7 +72,10 @@
             let step = MARGIN_STEP * preemptions.min(4) as f64;
             self.share = (self.share + step).min(MARGIN_MAX);
             self.preempted = Some(now);
-        } else if self.preempted.is_none_or(|at| now.saturating_sub(at) > CALM) {
+        } else if self
+            .preempted
+            .is_none_or(|at| now.saturating_sub(at) > CALM)
+        {
             let passed = now.saturating_sub(self.moved).as_secs_f64();
             self.share = (self.share - MARGIN_RELIEF * passed).max(MARGIN_MIN);
         }
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -90,7 +90,8 @@
             line.time = line.time.max(start);
         }
         line.weight = waiting.weight;
-        self.places.insert(waiting.ask.attempt, (level, organisation));
+        self.places
+            .insert(waiting.ask.attempt, (level, organisation));
         line.waiting.push_back(waiting);
         true
     }
@@ -117,7 +118,9 @@
             .filter(|waiting| waiting.deadline <= now || waiting.silent_until <= now)
             .map(|waiting| waiting.ask.attempt)
             .collect();
-        late.into_iter().filter_map(|attempt| self.remove(attempt)).collect()
+        late.into_iter()
+            .filter_map(|attempt| self.remove(attempt))
+            .collect()
     }
 
     /// Takes out all asks.
@@ -207,7 +210,10 @@
     }
 
     fn line_mut(&mut self, level: u8, organisation: &str) -> Option<&mut Line> {
-        self.classes.get_mut(&level)?.organisations.get_mut(organisation)
+        self.classes
+            .get_mut(&level)?
+            .organisations
+            .get_mut(organisation)
     }
 
     fn get_mut(&mut self, attempt: AttemptId) -> Option<&mut Waiting> {
@@ -269,7 +275,10 @@
             queue.push(waiting(1_000 + small, &format!("small{small}"), 1, 1.0));
         }
         let first: Vec<Name> = served(&mut queue, 11);
-        let small = first.iter().filter(|name| name.starts_with("small")).count();
+        let small = first
+            .iter()
+            .filter(|name| name.starts_with("small"))
+            .count();
         assert_eq!(small, 9);
         assert_eq!(queue.len(), 498, "the idle share is lent");
     }
--- a/crates/admit/src/server.rs
+++ b/crates/admit/src/server.rs
@@ -81,6 +81,8 @@
     jumps: u32,
     closed_until: Time,
     leaving: bool,
+    lost_sight: bool,
+    cold_since: Time,
     ends: VecDeque<Time>,
 }
 
@@ -97,6 +99,8 @@
             jumps: 0,
             closed_until: Time::ZERO,
             leaving: false,
+            lost_sight: false,
+            cold_since: Time::ZERO,
             ends: VecDeque::new(),
         }
     }
@@ -159,15 +163,20 @@
         let reborn = self.boot != load.boot;
         if reborn {
             self.start_cold(pool);
+            self.cold_since = now;
             self.boot = load.boot;
             self.closed_until = Time::ZERO;
             self.leaving = false;
             self.adopt_proof(&load, pool);
-        } else if load.cold && load.served < u64::from(self.limit()) {
-            self.start_cold(pool);
+        } else if std::mem::take(&mut self.lost_sight) && !load.cold {
+            // The link was down, not the server.
+            self.adopt_proof(&load, pool);
+        } else if load.cold {
             self.adopt_proof(&load, pool);
         }
-        let before = self.load.map_or(load.preemptions, |(_, old)| old.preemptions);
+        let before = self
+            .load
+            .map_or(load.preemptions, |(_, old)| old.preemptions);
         let preemptions = if reborn {
             load.preemptions
         } else {
@@ -179,13 +188,20 @@
         reborn
     }
 
-    /// Takes an answer that came whole, with its first-token time.
-    pub fn prove(&mut self, first_token: Duration, pool: &Pool) {
+    /// Takes an answer that came whole, with its first-token time and the time at which it was
+    /// placed. One that was placed before the server last became cold proves nothing, and a server
+    /// that itself reports how far it has come is believed instead.
+    pub fn prove(&mut self, now: Time, placed: Time, first_token: Duration, pool: &Pool) {
+        if placed < self.cold_since {
+            return;
+        }
         if self.note_first_token(first_token) {
             self.start_cold(pool);
+            self.cold_since = now;
             return;
         }
-        if self.jumps == 0 {
+        let reports_itself = self.load.is_some_and(|(_, load)| load.cold);
+        if self.jumps == 0 && !reports_itself {
             self.limit = (self.limit + 1.0).min(f64::from(pool.batch));
         }
     }
@@ -198,6 +214,8 @@
             REFUSED_TIME
         };
         self.closed_until = self.closed_until.max(now + time);
+        self.lost_sight |= unreachable;
+        self.cold_since = now;
         self.start_cold(pool);
     }
 
@@ -252,7 +270,7 @@
         let mut server = Server::new(NOW, listing, &pool);
         server.report(NOW, load(1), &pool);
         for _ in 0..30 {
-            server.prove(Duration::from_millis(50), &pool);
+            server.prove(NOW, NOW, Duration::from_millis(50), &pool);
         }
         assert_eq!(server.limit(), pool.batch);
         (pool, server)
@@ -278,6 +296,12 @@
         };
         server.report(NOW, cold, &pool);
         assert_eq!(server.limit(), pool.cold_limit, "its own report");
+        server.prove(NOW, NOW, Duration::from_millis(50), &pool);
+        assert_eq!(
+            server.limit(),
+            pool.cold_limit,
+            "late news of earlier work is no proof"
+        );
 
         let (pool, mut server) = warm();
         server.fail(NOW, false, &pool);
@@ -286,7 +310,7 @@
 
         let (pool, mut server) = warm();
         for _ in 0..JUMPS {
-            server.prove(Duration::from_secs(1), &pool);
+            server.prove(NOW, NOW, Duration::from_secs(1), &pool);
         }
         assert_eq!(server.limit(), pool.cold_limit, "first-token times jumped");
     }
--- a/crates/burn/src/plot.rs
+++ b/crates/burn/src/plot.rs
@@ -42,10 +42,7 @@
         let height = ROW * shown.len().max(2) as u32 + 110;
         let area = SVGBackend::with_string(&mut out, (WIDTH, height)).into_drawing_area();
         area.fill(&WHITE)?;
-        let most = shown
-            .iter()
-            .flat_map(|burn| burn.rates)
-            .fold(2.0, f64::max);
+        let most = shown.iter().flat_map(|burn| burn.rates).fold(2.0, f64::max);
         let caption = "Burn rate (1 uses up the budget in 30 days)";
         let rows = shown.len().max(1) as f64;
         let mut chart = ChartBuilder::on(&area)
@@ -58,7 +55,13 @@
             .configure_mesh()
             .disable_y_mesh()
             .disable_y_axis()
-            .x_label_formatter(&|x| if *x < 0.0 { String::new() } else { format!("{x:.0}") })
+            .x_label_formatter(&|x| {
+                if *x < 0.0 {
+                    String::new()
+                } else {
+                    format!("{x:.0}")
+                }
+            })
             .x_desc(format!(
                 "{} red, {} orange, {} blue",
                 WINDOW_NAMES[0], WINDOW_NAMES[1], WINDOW_NAMES[2]
@@ -72,7 +75,12 @@
                 let bar = Rectangle::new(corners, COLOURS[window].filled());
                 chart.draw_series(std::iter::once(bar))?;
             }
-            let name = format!("{} / {} {}", burn.route, burn.organisation, burn.aspect.as_str());
+            let name = format!(
+                "{} / {} {}",
+                burn.route,
+                burn.organisation,
+                burn.aspect.as_str()
+            );
             let style = ("sans-serif", 13).into_font().color(&BLACK);
             let label = Text::new(name, (-most * 0.54, top - 0.3), style);
             chart.draw_series(std::iter::once(label))?;
--- a/crates/burn/src/report.rs
+++ b/crates/burn/src/report.rs
@@ -95,7 +95,11 @@
         .iter()
         .flat_map(|line| Aspect::ALL.map(|aspect| burn(line, aspect, config)))
         .collect();
-    burns.sort_by(|a, b| b.alarm.cmp(&a.alarm).then(b.rates[1].total_cmp(&a.rates[1])));
+    burns.sort_by(|a, b| {
+        b.alarm
+            .cmp(&a.alarm)
+            .then(b.rates[1].total_cmp(&a.rates[1]))
+    });
     burns
 }
 
@@ -162,7 +166,10 @@
             missing: Vec::new(),
         };
         let burns = lines(&snapshot, &Config::default());
-        burns.into_iter().find(|b| b.aspect == Aspect::Success).unwrap()
+        burns
+            .into_iter()
+            .find(|b| b.aspect == Aspect::Success)
+            .unwrap()
     }
 
     #[test]
--- a/crates/conf/src/change.rs
+++ b/crates/conf/src/change.rs
@@ -98,7 +98,11 @@
     for (index, op) in ops.iter().enumerate() {
         if let Err(found) = apply_one(&mut next, op) {
             let place = |finding: &Finding| format!("operation {}: {}", index + 1, finding.place);
-            findings.extend(found.iter().map(|f| Finding::new(place(f), f.text.as_str())));
+            findings.extend(
+                found
+                    .iter()
+                    .map(|f| Finding::new(place(f), f.text.as_str())),
+            );
         }
     }
     findings.extend(check::check(&next));
@@ -190,9 +194,12 @@
         .map_err(|error| vec![Finding::new(&place, format!("is not JSON: {error}"))])?;
     let mut slot = &mut value;
     for part in field.split('.') {
-        let object = slot
-            .as_object_mut()
-            .ok_or_else(|| vec![Finding::new(&place, "leads into a value that has no fields")])?;
+        let object = slot.as_object_mut().ok_or_else(|| {
+            vec![Finding::new(
+                &place,
+                "leads into a value that has no fields",
+            )]
+        })?;
         slot = object.entry(part).or_insert(Value::Null);
     }
     *slot = new;
--- a/crates/core/src/baseline.rs
+++ b/crates/core/src/baseline.rs
@@ -114,8 +114,11 @@
             .cloned()
             .collect();
         let own = self.own_dc();
-        let here: Vec<ListedServer> =
-            all.iter().filter(|s| s.data_centre == own).cloned().collect();
+        let here: Vec<ListedServer> = all
+            .iter()
+            .filter(|s| s.data_centre == own)
+            .cloned()
+            .collect();
         let spread = self.settings.policy == Policy::LeastLoaded;
         if here.is_empty() || spread { all } else { here }
     }
@@ -178,7 +181,11 @@
         };
         job.phase = Phase::Waiting;
         let work = job.work(0);
-        let boot = self.baseline.loads.get(&server.name).map_or(0, |l| l.1.boot);
+        let boot = self
+            .baseline
+            .loads
+            .get(&server.name)
+            .map_or(0, |l| l.1.boot);
         let grant = Grant {
             attempt: self.rng.u64(1..),
             server: server.name.clone(),
--- a/crates/core/src/claims.rs
+++ b/crates/core/src/claims.rs
@@ -176,11 +176,7 @@
             owner,
             missed: !alive,
         };
-        let pause = if alive {
-            JOIN_PERIOD
-        } else {
-            JOIN_PERIOD * 10
-        };
+        let pause = if alive { JOIN_PERIOD } else { JOIN_PERIOD * 10 };
         self.set_due(id, self.now + pause);
     }
 
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -179,7 +179,10 @@
                 }
             }
             Answer::Nothing => {}
-            _ => self.config.next_read = self.now + FAILED_PAUSE + FAILED_PAUSE.mul_f64(self.rng.f64()),
+            _ => {
+                self.config.next_read =
+                    self.now + FAILED_PAUSE + FAILED_PAUSE.mul_f64(self.rng.f64())
+            }
         }
     }
 
@@ -344,7 +347,9 @@
         } else if let Ok(head) = serde_json::from_slice(&value) {
             head
         } else {
-            self.end_edit(CommandReply::Failed("the head in the store is broken".into()));
+            self.end_edit(CommandReply::Failed(
+                "the head in the store is broken".into(),
+            ));
             return;
         };
         let Some(edit) = self.config.edits.front_mut() else {
@@ -421,7 +426,11 @@
             version: 0,
             who: edit.command.who.clone(),
             at_ms: wall_ms,
-            ops: edit.actions.iter().map(|c| c.action.to_op(wall_ms)).collect(),
+            ops: edit
+                .actions
+                .iter()
+                .map(|c| c.action.to_op(wall_ms))
+                .collect(),
         };
         let base = self.config.follower.config();
         let (head, next) = match edit.head.with_change(base, change) {
@@ -565,7 +574,11 @@
         };
         let who = &edit.command.who;
         let lines = edit.command.lines.join("; ");
-        self.log("config", false, format!("Version {version} by {who}: {lines}."));
+        self.log(
+            "config",
+            false,
+            format!("Version {version} by {who}: {lines}."),
+        );
         self.config.spreading.push(Spread {
             id: edit.command.id,
             version,
--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -62,7 +62,10 @@
             Body::Withdraw { attempt } => self.on_withdraw(attempt),
             Body::Report(report) => self.on_peer_report(from, &report),
             Body::Resync { pool } => {
-                let found = self.members.entry(from).map(|entry| entry.data_centre.clone());
+                let found = self
+                    .members
+                    .entry(from)
+                    .map(|entry| entry.data_centre.clone());
                 if let Some(data_centre) = found {
                     self.report_in_full(&data_centre, &pool);
                 }
@@ -110,9 +113,10 @@
             .filter(|rumour| rumour.state != State::Dead && rumour.entry.id != own)
             .map(|rumour| rumour.entry.id)
             .collect();
-        for to in others {
+        // Nobody confirms it, so it goes twice.
+        for to in others.iter().chain(&others) {
             let strikes = strikes.clone();
-            self.send(to, Body::Strikes { strikes });
+            self.send(*to, Body::Strikes { strikes });
         }
     }
 
--- a/crates/core/src/home.rs
+++ b/crates/core/src/home.rs
@@ -1,6 +1,7 @@
 //! Deciding for a pool, and reporting to whoever does.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use admit::Cell;
@@ -137,6 +138,15 @@
 }
 
 impl Instance {
+    /// Returns how many attempts this instance has placed on a server as its home, and the server's
+    /// limit, or `None` where it is not the home.
+    pub fn view_of(&self, server: &str) -> Option<(usize, u32)> {
+        self.home.cells.values().find_map(|cell| {
+            let found = cell.servers().find(|one| one.listing.name == server)?;
+            Some((cell.count(server), found.limit()))
+        })
+    }
+
     pub(crate) fn on_list(&mut self, listed: Vec<Listed>) {
         let mut instances = Vec::new();
         let mut servers = BTreeMap::new();
@@ -347,12 +357,19 @@
             self.on_verdict(own, attempt, verdict, Duration::ZERO);
         }
         let left = self.inbox.len();
-        self.log("home", true, format!("{left} own verdicts wait for the next turn."));
+        self.log(
+            "home",
+            true,
+            format!("{left} own verdicts wait for the next turn."),
+        );
     }
 
     /// Takes a server's answer to a probe.
     pub(crate) fn on_report(&mut self, server: &Name, report: Option<ServerReport>) {
         let Some(report) = report else {
+            for cell in self.home.cells.values_mut() {
+                cell.unreachable(self.now, server);
+            }
             return;
         };
         let reborn = self
@@ -400,23 +417,27 @@
             .leaving
             .retain(|_, leaver| now.saturating_sub(leaver.said_at) < LEAVING_TIME);
         let mut replies = Vec::new();
-        for cell in self.home.cells.values_mut() {
-            replies.extend(cell.tick(self.now));
+        let mut silent = Vec::new();
+        for (pool, cell) in &mut self.home.cells {
+            replies.extend(cell.tick(now));
+            let holders = cell.silent_holders(now).into_iter();
+            silent.extend(holders.map(|holder| (holder, pool.clone())));
+        }
+        for (holder, pool) in silent {
+            self.send(holder, Body::Resync { pool });
         }
         self.deliver(replies);
     }
 
     fn note_dead_holders(&mut self) {
-        let dead: Vec<InstanceId> = self
+        let dead: BTreeSet<InstanceId> = self
             .members
             .rumours()
             .filter(|rumour| rumour.state == wire::gossip::State::Dead)
             .map(|rumour| rumour.entry.id)
             .collect();
         for cell in self.home.cells.values_mut() {
-            for holder in &dead {
-                cell.holder_gone(self.now, *holder);
-            }
+            cell.set_dead(self.now, &dead);
         }
     }
 
@@ -532,7 +553,10 @@
             return;
         };
         // Ends that were not sent yet go with it, for what they say of the server.
-        let ended = reporter.items.drain(..).filter(|i| matches!(i, Item::Ended { .. }));
+        let ended = reporter
+            .items
+            .drain(..)
+            .filter(|i| matches!(i, Item::Ended { .. }));
         let items: Vec<Item> = ended.chain(items).collect();
         reporter.home = home;
         reporter.since = None;
--- a/crates/core/src/rows.rs
+++ b/crates/core/src/rows.rs
@@ -52,7 +52,14 @@
     }
 
     fn instance_rows(&self) -> Table {
-        let columns = ["name", "data-centre", "state", "config-version", "id", "operators"];
+        let columns = [
+            "name",
+            "data-centre",
+            "state",
+            "config-version",
+            "id",
+            "operators",
+        ];
         let mut table = Table::new(&columns);
         for rumour in self.members.rumours() {
             let entry = &rumour.entry;
@@ -117,7 +124,15 @@
     }
 
     fn route_rows(&self) -> Table {
-        let columns = ["name", "pool", "delivery", "idempotent", "rerun", "class", "deadline-ms"];
+        let columns = [
+            "name",
+            "pool",
+            "delivery",
+            "idempotent",
+            "rerun",
+            "class",
+            "deadline-ms",
+        ];
         let mut table = Table::new(&columns);
         for (name, route) in &self.config().routes {
             table.push(vec![
@@ -169,14 +184,22 @@
         let columns = ["name", "region", "state", "share", "instances", "servers"];
         let mut table = Table::new(&columns);
         let mut names: Vec<Name> = self.config().data_centres.keys().cloned().collect();
-        names.extend(self.servers.values().map(|server| server.data_centre.clone()));
+        names.extend(
+            self.servers
+                .values()
+                .map(|server| server.data_centre.clone()),
+        );
         names.sort();
         names.dedup();
         for name in names {
             let found = self.config().data_centres.get(&name);
             let out = !route::choice::in_service(self.config(), &name);
             let share = route::choice::return_share(self.config(), &name, self.wall);
-            let servers = self.servers.values().filter(|s| s.data_centre == name).count();
+            let servers = self
+                .servers
+                .values()
+                .filter(|s| s.data_centre == name)
+                .count();
             table.push(vec![
                 name.as_str().into(),
                 found.map_or("", |found| found.region.as_str()).into(),
@@ -190,7 +213,15 @@
     }
 
     fn pool_rows(&self) -> Table {
-        let columns = ["name", "service", "cold-limit", "batch", "model", "version", "home"];
+        let columns = [
+            "name",
+            "service",
+            "cold-limit",
+            "batch",
+            "model",
+            "version",
+            "home",
+        ];
         let mut table = Table::new(&columns);
         for (name, pool) in &self.config().pools {
             let home = self
--- a/crates/core/src/seek.rs
+++ b/crates/core/src/seek.rs
@@ -254,8 +254,8 @@
         age: Duration,
     ) {
         let Some((id, side)) = self.side_of(attempt) else {
-            // Too late: the job has ended, runs already, or has asked anew.
-            if let Verdict::Grant(_) = verdict {
+            // Too late: the job has ended or has asked anew. A grant that came twice is in use.
+            if matches!(verdict, Verdict::Grant(_)) && !self.is_running(attempt) {
                 self.return_grant(from, attempt);
             }
             return;
@@ -267,6 +267,12 @@
         }
     }
 
+    fn is_running(&self, attempt: AttemptId) -> bool {
+        let job = self.attempts.get(&attempt).and_then(|id| self.jobs.get(id));
+        job.and_then(|job| job.running())
+            .is_some_and(|running| running.attempt == attempt)
+    }
+
     fn side_of(&self, attempt: AttemptId) -> Option<(RequestId, Side)> {
         let id = *self.attempts.get(&attempt)?;
         let Phase::Seeking(seeking) = &self.jobs.get(&id)?.phase else {
@@ -293,6 +299,12 @@
         let Some(asked) = self.take_side(id, side) else {
             return;
         };
+        let fingerprint = self.jobs[&id].request.fingerprint;
+        if self.suspects.standing(self.now, fingerprint) == Standing::Barred {
+            self.return_grant(from, grant.attempt);
+            self.end_barred(id);
+            return;
+        }
         let age = age + Duration::from_millis(u64::from(grant.age_ms));
         if age < GRANT_USE {
             // The other ask is taken back only after this one is sure to be used.
--- a/crates/core/src/serve.rs
+++ b/crates/core/src/serve.rs
@@ -197,7 +197,9 @@
         let Some(id) = self.attempts.get(&attempt).copied() else {
             return;
         };
-        let is_current = self.jobs[&id].running().is_some_and(|r| r.attempt == attempt);
+        let is_current = self.jobs[&id]
+            .running()
+            .is_some_and(|r| r.attempt == attempt);
         if !is_current {
             return;
         }
@@ -274,7 +276,8 @@
 
     fn note_sample(&mut self, request: &Request, place: &str, sample: Sample) {
         let (route, organisation) = (&request.route, &request.organisation);
-        self.meter.note(self.now, route, organisation, place, sample);
+        self.meter
+            .note(self.now, route, organisation, place, sample);
     }
 
     /// The server proved that it did not run the attempt.
@@ -293,7 +296,11 @@
     /// The server lost the attempt while it ran.
     fn on_lost(&mut self, id: RequestId, crashed: bool, delivered: u32) {
         self.note_delivered(id, delivered);
-        let end = if crashed { End::Crashed } else { End::Cancelled };
+        let end = if crashed {
+            End::Crashed
+        } else {
+            End::Cancelled
+        };
         self.note_ended(id, end);
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
@@ -323,7 +330,7 @@
         }
     }
 
-    fn end_barred(&mut self, id: RequestId) {
+    pub(crate) fn end_barred(&mut self, id: RequestId) {
         if let Some(job) = self.jobs.get_mut(&id) {
             // It did run, by this caller's or an earlier sending.
             job.note_dispatch();
@@ -370,7 +377,9 @@
     /// Moves an answer that would not end in time to another server.
     pub(crate) fn move_away(&mut self, server: &str) {
         let movable = |job: &Job| {
-            let here = job.running().is_some_and(|running| running.server == server);
+            let here = job
+                .running()
+                .is_some_and(|running| running.server == server);
             here && job.route.idempotent
                 && job.route.delivery == Delivery::Whole
                 && job.delivered() == 0
--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -217,7 +217,7 @@
     }
 
     /// Returns whether this instance sees more than half of its data centre's listed instances,
-    /// leaving ones not counted. Without a list it can't tell and says yes.
+    /// leaving ones not counted. One that has never had a list can't tell and says no.
     pub fn has_majority(&self) -> bool {
         let data_centre = &self.own.entry.data_centre;
         let expected = self
@@ -225,7 +225,7 @@
             .iter()
             .filter(|listed| listed.data_centre == *data_centre && !listed.leaving)
             .count();
-        self.live(data_centre).count() * 2 > expected
+        expected > 0 && self.live(data_centre).count() * 2 > expected
     }
 
     /// Probes, times out probes and suspicions, and notices a pause of this process.
@@ -246,7 +246,13 @@
     }
 
     /// Takes a probe and returns its answer.
-    pub fn on_ping(&mut self, now: Time, from: InstanceId, probe: u64, gossip: &Gossip) -> Vec<Send> {
+    pub fn on_ping(
+        &mut self,
+        now: Time,
+        from: InstanceId,
+        probe: u64,
+        gossip: &Gossip,
+    ) -> Vec<Send> {
         let before = self.peers.get(&from).map(|peer| peer.rumour.clone());
         self.hear(now, from, gossip);
         let Some(entry) = self.entry(from) else {
@@ -255,7 +261,9 @@
         let address = entry.peers;
         let mut gossip = self.gossip();
         // Whoever was thought dead must hear of it to deny it.
-        gossip.rumours.extend(before.filter(|rumour| rumour.state > State::Leaving));
+        gossip
+            .rumours
+            .extend(before.filter(|rumour| rumour.state > State::Leaving));
         vec![Send {
             address,
             to: from,
@@ -264,7 +272,13 @@
     }
 
     /// Takes the answer to a probe, and passes it on if the probe was for another instance.
-    pub fn on_ack(&mut self, now: Time, from: InstanceId, probe: u64, gossip: &Gossip) -> Vec<Send> {
+    pub fn on_ack(
+        &mut self,
+        now: Time,
+        from: InstanceId,
+        probe: u64,
+        gossip: &Gossip,
+    ) -> Vec<Send> {
         self.hear(now, from, gossip);
         let Some(found) = self.probes.get(&probe) else {
             return Vec::new();
@@ -356,14 +370,8 @@
         sends
     }
 
-    fn probe_through_others(
-        &mut self,
-        now: Time,
-        number: u64,
-        target: InstanceId,
-    ) -> Vec<Send> {
-        let mut helpers: Vec<InstanceId> =
-            self.live_others().filter(|id| *id != target).collect();
+    fn probe_through_others(&mut self, now: Time, number: u64, target: InstanceId) -> Vec<Send> {
+        let mut helpers: Vec<InstanceId> = self.live_others().filter(|id| *id != target).collect();
         self.rng.shuffle(&mut helpers);
         let probe = Probe {
             target,
@@ -489,7 +497,11 @@
         for rumour in &gossip.rumours {
             self.learn(now, rumour);
         }
-        if gossip.rumours.first().is_some_and(|own| own.entry.id == from) {
+        if gossip
+            .rumours
+            .first()
+            .is_some_and(|own| own.entry.id == from)
+        {
             self.bury_predecessors(now, &gossip.rumours[0]);
         }
     }
@@ -501,9 +513,7 @@
             return;
         }
         let newer = match self.peers.get(&id) {
-            Some(peer) => {
-                (rumour.beat, rumour.state) > (peer.rumour.beat, peer.rumour.state)
-            }
+            Some(peer) => (rumour.beat, rumour.state) > (peer.rumour.beat, peer.rumour.state),
             None => true,
         };
         if !newer {
@@ -568,7 +578,8 @@
 
     fn spread(&mut self, id: InstanceId) {
         let doublings = usize::BITS - self.peers.len().leading_zeros();
-        self.repeats.insert(id, REPEATS_A_DOUBLING * doublings.max(1));
+        self.repeats
+            .insert(id, REPEATS_A_DOUBLING * doublings.max(1));
         self.changes += 1;
     }
 
@@ -629,9 +640,12 @@
                     leaving: false,
                 })
                 .collect();
-            let mut members: Vec<Membership> =
-                (1..=count).map(|id| Membership::new(entry(id), id)).collect();
-            members.iter_mut().for_each(|member| member.list(listed.clone()));
+            let mut members: Vec<Membership> = (1..=count)
+                .map(|id| Membership::new(entry(id), id))
+                .collect();
+            members
+                .iter_mut()
+                .for_each(|member| member.list(listed.clone()));
             Fleet {
                 now: Time::ZERO,
                 members,
@@ -656,7 +670,10 @@
 
         fn deliver(&mut self, from: InstanceId, sends: Vec<Send>) {
             for send in sends {
-                let target = self.members.iter().position(|m| m.own().peers == send.address);
+                let target = self
+                    .members
+                    .iter()
+                    .position(|m| m.own().peers == send.address);
                 let Some(index) = target else { continue };
                 let id = self.members[index].own().id;
                 if self.stopped.contains(&id) || self.stopped.contains(&from) {
@@ -687,7 +704,10 @@
         fleet.run(Duration::from_secs(5));
         for index in 0..9 {
             assert_eq!(fleet.live(index), 9);
-            assert_eq!(fleet.members[index].home("a", "k"), fleet.members[0].home("a", "k"));
+            assert_eq!(
+                fleet.members[index].home("a", "k"),
+                fleet.members[0].home("a", "k")
+            );
         }
     }
 
@@ -697,7 +717,11 @@
         fleet.run(Duration::from_secs(5));
         fleet.stopped.push(4);
         fleet.run(Duration::from_secs(4));
-        assert!((0..9).filter(|i| *i != 3).all(|index| fleet.live(index) == 8));
+        assert!(
+            (0..9)
+                .filter(|i| *i != 3)
+                .all(|index| fleet.live(index) == 8)
+        );
         fleet.stopped.clear();
         let woke = fleet.members[3].tick(fleet.now).woke;
         assert!(woke, "a pause is noticed by the one that was paused");
--- a/crates/once/src/ledger.rs
+++ b/crates/once/src/ledger.rs
@@ -448,14 +448,22 @@
                     let (revision, value) = self.at(key);
                     Answer::Value { revision, value }
                 }
-                Call::Swap { key, expect, value, .. } => {
+                Call::Swap {
+                    key, expect, value, ..
+                } => {
                     let (revision, found) = self.at(key);
                     if revision != *expect {
-                        return Answer::Conflict { revision, value: found };
+                        return Answer::Conflict {
+                            revision,
+                            value: found,
+                        };
                     }
                     self.count += 1;
-                    self.values.insert(key.to_string(), (self.count, value.clone()));
-                    Answer::Swapped { revision: self.count }
+                    self.values
+                        .insert(key.to_string(), (self.count, value.clone()));
+                    Answer::Swapped {
+                        revision: self.count,
+                    }
                 }
                 _ => Answer::Unreachable,
             }
@@ -492,7 +500,11 @@
             for effect in effects {
                 match effect {
                     Effect::Call { ticket, call } => self.flying.push((who, ticket, call)),
-                    Effect::Claimed { claim, verdict: Verdict::Fresh, .. } => {
+                    Effect::Claimed {
+                        claim,
+                        verdict: Verdict::Fresh,
+                        ..
+                    } => {
                         let key = wire::Key::from(claim % 4);
                         let runs = self.runs.entry(key).or_default();
                         if !runs.contains(&claim) {
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -182,7 +182,8 @@
             if engine.ready {
                 ready -= 1;
             }
-            self.sent.insert(engine.server.clone(), (wanted.clone(), now));
+            self.sent
+                .insert(engine.server.clone(), (wanted.clone(), now));
             orders.push(Order {
                 server: engine.server.clone(),
                 fence: tenure.fence,
@@ -192,9 +193,9 @@
     }
 
     fn is_under_way(&self, now: Time, engine: &Engine, wanted: &Setup) -> bool {
-        self.sent.get(&engine.server).is_some_and(|(setup, at)| {
-            setup == wanted && now.saturating_sub(*at) < ORDER_RETRY
-        })
+        self.sent
+            .get(&engine.server)
+            .is_some_and(|(setup, at)| setup == wanted && now.saturating_sub(*at) < ORDER_RETRY)
     }
 
     fn refill(&mut self, now: Time) {
@@ -297,7 +298,10 @@
         for step in 0..10 {
             now += Duration::from_millis(1_200);
             renew(&mut reconciler, now, 6 + step);
-            if !reconciler.orders(now, std::slice::from_ref(&group)).is_empty() {
+            if !reconciler
+                .orders(now, std::slice::from_ref(&group))
+                .is_empty()
+            {
                 first.get_or_insert(now);
             }
         }
@@ -313,10 +317,17 @@
             pool: &pool,
             engines: engines(2, false),
         };
-        assert_eq!(reconciler.orders(NOW, std::slice::from_ref(&group)).len(), 2);
+        assert_eq!(
+            reconciler.orders(NOW, std::slice::from_ref(&group)).len(),
+            2
+        );
         let soon = NOW + Duration::from_millis(1_200);
         renew(&mut reconciler, soon, 6);
-        assert!(reconciler.orders(soon, std::slice::from_ref(&group)).is_empty());
+        assert!(
+            reconciler
+                .orders(soon, std::slice::from_ref(&group))
+                .is_empty()
+        );
         let mut now = soon;
         for revision in 7..9 {
             now += Duration::from_millis(1_200);
--- a/crates/query/src/parse.rs
+++ b/crates/query/src/parse.rs
@@ -62,7 +62,11 @@
             _ => None,
         })
         .collect();
-    let chosen = if at_start { names.last() } else { names.first() };
+    let chosen = if at_start {
+        names.last()
+    } else {
+        names.first()
+    };
     let chosen = chosen.map_or("a command", String::as_str);
     vec![chosen.to_string()]
 }
@@ -72,7 +76,9 @@
 }
 
 fn end(input: &mut &str) -> ModalResult<()> {
-    eof.void().context(describe("the end of the line")).parse_next(input)
+    eof.void()
+        .context(describe("the end of the line"))
+        .parse_next(input)
 }
 
 fn command(input: &mut &str) -> ModalResult<Command> {
@@ -218,7 +224,9 @@
     move |input: &mut &'a str| {
         bare.verify(|text: &str| text == expected)
             .void()
-            .context(StrContext::Expected(StrContextValue::StringLiteral(expected)))
+            .context(StrContext::Expected(StrContextValue::StringLiteral(
+                expected,
+            )))
             .parse_next(input)
     }
 }
@@ -247,7 +255,9 @@
         return object.parse_next(input);
     }
     let is_quoted = input.starts_with('"');
-    let text = alt((quoted, bare)).context(describe("a value")).parse_next(input)?;
+    let text = alt((quoted, bare))
+        .context(describe("a value"))
+        .parse_next(input)?;
     let is_json = serde_json::from_str::<serde_json::Value>(text).is_ok();
     if is_json && !is_quoted {
         Ok(text.to_string())
@@ -259,8 +269,7 @@
 /// A JSON object or array, up to its end.
 fn object(input: &mut &str) -> ModalResult<String> {
     let start: &str = input;
-    let mut values =
-        serde_json::Deserializer::from_str(start).into_iter::<serde_json::Value>();
+    let mut values = serde_json::Deserializer::from_str(start).into_iter::<serde_json::Value>();
     let Some(Ok(found)) = values.next() else {
         let failed: ModalResult<()> = Err(ErrMode::Backtrack(ContextError::new()));
         let fail = |_: &mut &str| failed.clone();
--- a/crates/query/src/rows.rs
+++ b/crates/query/src/rows.rs
@@ -106,7 +106,12 @@
         let mut lines = vec![self.columns.iter().map(Name::to_string).collect::<Vec<_>>()];
         lines.extend(self.rows.iter().map(|row| row.iter().map(text).collect()));
         let widths: Vec<usize> = (0..self.columns.len())
-            .map(|column| lines.iter().map(|l: &Vec<String>| l[column].chars().count()).max())
+            .map(|column| {
+                lines
+                    .iter()
+                    .map(|l: &Vec<String>| l[column].chars().count())
+                    .max()
+            })
             .map(Option::unwrap_or_default)
             .collect();
         let mut out = String::new();
--- a/crates/route/src/prefix.rs
+++ b/crates/route/src/prefix.rs
@@ -120,7 +120,11 @@
         index.events(&server, 1, 0, &[Event::Stored(5), Event::Stored(6)]);
         assert_eq!(index.matched("e1", &[5, 6, 7]), 2);
         index.events(&server, 1, 1, &[Event::Stored(6), Event::Dropped(5)]);
-        assert_eq!(index.matched("e1", &[5, 6]), 0, "the overlap is skipped, the rest is taken");
+        assert_eq!(
+            index.matched("e1", &[5, 6]),
+            0,
+            "the overlap is skipped, the rest is taken"
+        );
         index.events(&server, 1, 9, &[Event::Stored(8)]);
         assert_eq!(index.matched("e1", &[6]), 0, "a gap");
         index.events(&server, 2, 0, &[]);
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -84,24 +84,31 @@
 /// Mends links, the store, and servers that are down.
 fn mend(world: &mut World) {
     world.note("links, store and servers are mended");
-    world.cuts.clear();
-    world.cut_off.clear();
+    world.mend_links();
     world.loss = 0.01;
-    world.platform.faults = standin::platform::Faults::default();
-    restart_servers(world);
+    end_leaving_servers(world);
 }
 
-/// Starts all servers that are down or leaving.
-pub fn restart_servers(world: &mut World) {
-    for server in world.servers.values_mut() {
-        match &mut server.backend {
-            Backend::Engine(engine) if !engine.is_up() || server.listed.leaving => engine.restart(),
-            Backend::Plain(plain) if !plain.is_up() || server.listed.leaving => plain.restart(),
-            _ => continue,
-        }
-        server.listed.leaving = false;
-        server.listed.reclaimed = false;
+/// Ends the servers that are about to go. Like every server that is down, they start anew later.
+pub fn end_leaving_servers(world: &mut World) {
+    let leaving: Vec<Name> = world
+        .servers
+        .iter()
+        .filter(|(_, server)| server.listed.leaving)
+        .map(|(name, _)| name.clone())
+        .collect();
+    for name in leaving {
+        crash(world, &name);
+    }
+}
+
+fn crash(world: &mut World, name: &Name) {
+    let server = world.servers.get_mut(name).expect("the server is known");
+    match &mut server.backend {
+        Backend::Engine(engine) => engine.crash(),
+        Backend::Plain(plain) => plain.crash(),
     }
+    world.lose_all(name);
 }
 
 fn store_outage(world: &mut World) {
@@ -116,19 +123,19 @@
 
 fn crash_server(world: &mut World) {
     let name = any_server(world);
-    let server = world.servers.get_mut(&name).expect("the server is known");
-    match &mut server.backend {
-        Backend::Engine(engine) => engine.crash(),
-        Backend::Plain(plain) => plain.crash(),
-    }
-    world.lose_all(&name);
+    crash(world, &name);
 }
 
 fn chill_server(world: &mut World) {
     let name = any_server(world);
     world.note(format!("{name} turns cold"));
     let now = world.now;
-    match &mut world.servers.get_mut(&name).expect("the server is known").backend {
+    match &mut world
+        .servers
+        .get_mut(&name)
+        .expect("the server is known")
+        .backend
+    {
         Backend::Engine(engine) => engine.chill(now),
         Backend::Plain(plain) => plain.chill(now),
     }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -46,8 +46,10 @@
 pub fn run(seed: u64) -> Outcome {
     let mut world = world::World::new(seed);
     world.run_until(TROUBLE);
-    world.heal();
-    world.run_until(TROUBLE + QUIET);
+    if world.broken.is_empty() {
+        world.heal();
+        world.run_until(TROUBLE + QUIET);
+    }
     verdict::judge(&mut world)
 }
 
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -33,6 +33,9 @@
         answered += outcome.answered;
         requests += outcome.requests;
     }
-    println!("{} runs, {requests} requests, {answered} answered, nothing broken", arguments.count);
+    println!(
+        "{} runs, {requests} requests, {answered} answered, nothing broken",
+        arguments.count
+    );
     ExitCode::SUCCESS
 }
--- a/crates/soak/src/relay.rs
+++ b/crates/soak/src/relay.rs
@@ -51,7 +51,13 @@
 
 impl Stream {
     /// Returns the stream of a first attempt.
-    pub fn new(now: Duration, whole: bool, rerun: bool, attempt: AttemptId, server: Name) -> Stream {
+    pub fn new(
+        now: Duration,
+        whole: bool,
+        rerun: bool,
+        attempt: AttemptId,
+        server: Name,
+    ) -> Stream {
         let mut relay = Relay::new(whole).with_rerun(rerun);
         relay.bind(attempt);
         Stream {
--- a/crates/soak/src/verdict.rs
+++ b/crates/soak/src/verdict.rs
@@ -1,6 +1,5 @@
 //! What must hold on the way and in the end.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use standin::token;
@@ -18,12 +17,12 @@
 const WITHDRAWAL: Duration = Duration::from_secs(3);
 
 /// Checks that a data centre may get new work. An instance that is cut off from the store and from
-/// all others can't know, and neither can one that was just paused until it has heard from somebody.
+/// all others can't know; the time counts from when it can.
 pub fn check_start(world: &mut World, centre: &Name, node: usize) {
     let Some(since) = world.out_since.get(centre) else {
         return;
     };
-    let out = world.now > *since + WITHDRAWAL;
+    let out = world.now > (*since).max(world.mended_at) + WITHDRAWAL;
     let cut = world.cut_off.contains(&world.nodes[node].data_centre) || !world.cuts.is_empty();
     if out && !cut && !world.platform.faults.down {
         let text = format!("work for {centre} from i{node} after it was taken out");
@@ -43,7 +42,11 @@
     let marker = caller.marker;
     let generation = relay.generation().unwrap_or(0);
     let expected = |index: usize| token::text(&marker, generation, index as u32);
-    let same = relay.tokens().iter().enumerate().all(|(index, text)| *text == expected(index));
+    let same = relay
+        .tokens()
+        .iter()
+        .enumerate()
+        .all(|(index, text)| *text == expected(index));
     let whole = relay.tokens().len() == marker.length as usize;
     if !same || !whole {
         let text = format!("the answer to {number:x} is not whole or not of one generation");
@@ -54,12 +57,16 @@
 /// Checks that a refused request was not run by this sending.
 pub fn check_refusal(world: &mut World, number: u64, request: RequestId, refusal: &Refusal) {
     if refusal.reason() == Reason::Barred {
-        world.broken.push(format!("request {number:x} was barred and told that it did not run"));
+        world.broken.push(format!(
+            "request {number:x} was barred and told that it did not run"
+        ));
     }
     let sends = world.callers[&number].sends;
     let first = request >> 32 == 1 && sends == 1;
     if first && starts_of(world, number) > 0 {
-        world.broken.push(format!("request {number:x} ran and was told that it did not"));
+        world.broken.push(format!(
+            "request {number:x} ran and was told that it did not"
+        ));
     }
 }
 
@@ -68,28 +75,43 @@
         .servers
         .values()
         .map(|server| match &server.backend {
-            Backend::Engine(engine) => {
-                engine.record.starts.iter().filter(|start| start.1 == number).count()
-            }
-            Backend::Plain(plain) => {
-                plain.record.starts.iter().filter(|start| start.1 == number).count()
-            }
+            Backend::Engine(engine) => engine
+                .record
+                .starts
+                .iter()
+                .filter(|start| start.1 == number)
+                .count(),
+            Backend::Plain(plain) => plain
+                .record
+                .starts
+                .iter()
+                .filter(|start| start.1 == number)
+                .count(),
         })
         .sum()
 }
 
 /// Judges a run that has become quiet.
 pub fn judge(world: &mut World) -> Outcome {
+    if !world.broken.is_empty() {
+        return outcome(world);
+    }
     check_once(world);
-    check_cold(world);
-    check_poison(world);
     check_quiet(world);
     check_versions(world);
+    outcome(world)
+}
+
+fn outcome(world: &mut World) -> Outcome {
     Outcome {
         broken: std::mem::take(&mut world.broken),
         trace: world.trace.iter().cloned().collect(),
         requests: world.callers.len(),
-        answered: world.callers.values().filter(|caller| caller.answered).count(),
+        answered: world
+            .callers
+            .values()
+            .filter(|caller| caller.answered)
+            .count(),
     }
 }
 
@@ -103,41 +125,22 @@
     for number in marks {
         let runs = starts_of(world, number);
         if runs > 1 {
-            world.broken.push(format!("request {number:x} must run once and ran {runs} times"));
+            world.broken.push(format!(
+                "request {number:x} must run once and ran {runs} times"
+            ));
         }
     }
 }
 
-fn check_cold(world: &mut World) {
-    let over: BTreeMap<Name, u64> = world
-        .servers
-        .iter()
-        .map(|(name, server)| {
-            let count = match &server.backend {
-                Backend::Engine(engine) => engine.record.over_cold,
-                Backend::Plain(plain) => plain.record.over_cold,
-            };
-            (name.clone(), count)
-        })
-        .filter(|(_, count)| *count > 0)
-        .collect();
-    if !over.is_empty() {
-        world.broken.push(format!("cold servers got more than they bear: {over:?}"));
-    }
-}
-
-fn check_poison(world: &mut World) {
-    let poison: Vec<u64> = world
-        .callers
-        .iter()
-        .filter(|(_, caller)| caller.marker.poison)
-        .map(|(number, _)| *number)
-        .collect();
-    for number in poison {
-        let runs = starts_of(world, number);
-        if runs > 2 {
-            world.broken.push(format!("request {number:x} crashed {runs} servers"));
-        }
+/// Checks that a request that crashed its servers is not run a third time, except by an instance that
+/// could not hear of it.
+pub fn check_poison(world: &mut World, marker: &token::Marker) {
+    let heard = world.cuts.is_empty() && world.now > world.mended_at + WITHDRAWAL;
+    if marker.poison && heard && starts_of(world, marker.request) >= 2 {
+        let number = marker.request;
+        world
+            .broken
+            .push(format!("request {number:x} runs again after two crashes"));
     }
 }
 
@@ -161,7 +164,9 @@
         .map(|(number, _)| *number)
         .collect();
     if !untold.is_empty() {
-        world.broken.push(format!("callers were told nothing: {untold:x?}"));
+        world
+            .broken
+            .push(format!("callers were told nothing: {untold:x?}"));
     }
 }
 
@@ -172,6 +177,8 @@
         .map(|node| node.instance.config().version)
         .collect();
     if versions.iter().any(|version| *version != versions[0]) {
-        world.broken.push(format!("versions in force differ: {versions:?}"));
+        world
+            .broken
+            .push(format!("versions in force differ: {versions:?}"));
     }
 }
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -36,7 +36,7 @@
 /// Wall time at the start.
 const WALL: Duration = Duration::from_secs(1_800_000_000);
 /// Events kept for a trace.
-const TRACE_MAX: usize = 60;
+const TRACE_MAX: usize = 400;
 /// Time between two looks at the streams of an instance.
 const LOOK_PERIOD: Duration = Duration::from_millis(250);
 /// Time between two readings of the list.
@@ -82,6 +82,16 @@
     readers: BTreeMap<u64, Reader>,
 }
 
+impl Server {
+    /// Returns how often it got more than a cold server bears.
+    pub fn over_cold(&self) -> u64 {
+        match &self.backend {
+            Backend::Engine(engine) => engine.record.over_cold,
+            Backend::Plain(plain) => plain.record.over_cold,
+        }
+    }
+}
+
 /// Who reads a generation or waits for a call.
 #[derive(Clone, Copy, Debug)]
 struct Reader {
@@ -116,16 +126,51 @@
 /// Something that happens.
 #[derive(Debug)]
 enum Action {
-    Handle { node: usize, life: u64, input: Box<Input> },
-    Wake { node: usize, life: u64 },
-    Reach { node: usize, life: u64, dispatch: Dispatch },
-    Arrive { node: usize, life: u64, request: RequestId, attempt: AttemptId, emission: Emission },
-    Step { server: Name },
-    End { server: Name, call: u64 },
-    Store { node: usize, life: u64, id: u64, call: store::Call, until: Time },
-    Look { node: usize },
-    List { node: usize },
+    Handle {
+        node: usize,
+        life: u64,
+        input: Box<Input>,
+    },
+    Wake {
+        node: usize,
+        life: u64,
+    },
+    Reach {
+        node: usize,
+        life: u64,
+        dispatch: Dispatch,
+    },
+    Arrive {
+        node: usize,
+        life: u64,
+        request: RequestId,
+        attempt: AttemptId,
+        emission: Emission,
+    },
+    Step {
+        server: Name,
+    },
+    End {
+        server: Name,
+        call: u64,
+    },
+    Store {
+        node: usize,
+        life: u64,
+        id: u64,
+        call: store::Call,
+        until: Time,
+    },
+    Look {
+        node: usize,
+    },
+    List {
+        node: usize,
+    },
     Load,
+    Restart {
+        server: Name,
+    },
     Trouble,
 }
 
@@ -151,6 +196,8 @@
     pub loss: f64,
     /// Data centres that are out by the newest configuration in force anywhere, and since when.
     pub out_since: BTreeMap<Name, Time>,
+    /// When links or the store were last mended.
+    pub mended_at: Time,
     newest: u64,
     /// What did not hold on the way.
     pub broken: Vec<String>,
@@ -178,6 +225,7 @@
             cut_off: Vec::new(),
             loss: 0.01,
             out_since: BTreeMap::new(),
+            mended_at: Time::ZERO,
             newest: 0,
             broken: Vec::new(),
             trace: VecDeque::new(),
@@ -227,7 +275,13 @@
             sent: 0,
             wake: Time::MAX,
         });
-        self.schedule(Duration::ZERO, Action::Wake { node: index, life: 1 });
+        self.schedule(
+            Duration::ZERO,
+            Action::Wake {
+                node: index,
+                life: 1,
+            },
+        );
     }
 
     fn add_server(&mut self, centre: usize, index: usize, is_engine: bool) {
@@ -280,12 +334,20 @@
     /// Ends all trouble and all load.
     pub fn heal(&mut self) {
         self.troubled = false;
+        self.mend_links();
+        self.loss = 0.0;
+        crate::fault::end_leaving_servers(self);
+        self.note("all is healed");
+    }
+
+    /// Ends all cuts and the store's faults.
+    pub fn mend_links(&mut self) {
+        if !self.cuts.is_empty() || !self.cut_off.is_empty() || self.platform.faults.down {
+            self.mended_at = self.now;
+        }
         self.cuts.clear();
         self.cut_off.clear();
-        self.loss = 0.0;
         self.platform.faults = standin::platform::Faults::default();
-        crate::fault::restart_servers(self);
-        self.note("all is healed");
     }
 
     /// Notes an event for the trace.
@@ -331,6 +393,7 @@
             Action::Look { node } => self.look(node),
             Action::List { node } => self.give_list(node),
             Action::Load => self.add_load(),
+            Action::Restart { server } => self.restart_server(&server),
             Action::Trouble => {
                 if self.troubled {
                     crate::fault::strike(self);
@@ -350,7 +413,14 @@
         if node.paused_until > self.now {
             let delay = node.paused_until - self.now;
             let input = Box::new(input);
-            self.schedule(delay, Action::Handle { node: index, life, input });
+            self.schedule(
+                delay,
+                Action::Handle {
+                    node: index,
+                    life,
+                    input,
+                },
+            );
             return;
         }
         let wall = WALL + self.now + node.skew;
@@ -372,12 +442,20 @@
         match output {
             Output::Dispatch(dispatch) => {
                 let delay = self.delay();
-                self.schedule(delay, Action::Reach { node: index, life, dispatch });
+                self.schedule(
+                    delay,
+                    Action::Reach {
+                        node: index,
+                        life,
+                        dispatch,
+                    },
+                );
             }
             Output::Cancel { request, .. } => {
                 if let Some(stream) = self.nodes[index].streams.get(&request) {
                     let (server, generation) = (stream.server.clone(), stream.generation);
-                    if let (Some(server), Some(generation)) = (self.servers.get_mut(&server), generation)
+                    if let (Some(server), Some(generation)) =
+                        (self.servers.get_mut(&server), generation)
                         && let Backend::Engine(engine) = &mut server.backend
                     {
                         engine.cancel(generation);
@@ -390,15 +468,29 @@
                 let delay = self.delay();
                 let until = self.now + sent.timeout;
                 let (id, call) = (sent.id, sent.call);
-                self.schedule(delay, Action::Store { node: index, life, id, call, until });
+                self.schedule(
+                    delay,
+                    Action::Store {
+                        node: index,
+                        life,
+                        id,
+                        call,
+                        until,
+                    },
+                );
             }
             Output::Probe { server, .. } => {
                 let report = self.report(index, &server);
                 self.input(index, Input::Report(server, report));
             }
             Output::Order { order, .. } => {
-                if let Some(Server { backend: Backend::Engine(engine), .. }) = self.servers.get_mut(&order.server) {
-                    let setup = BTreeMap::from([("model".to_string(), order.setup.model.to_string())]);
+                if let Some(Server {
+                    backend: Backend::Engine(engine),
+                    ..
+                }) = self.servers.get_mut(&order.server)
+                {
+                    let setup =
+                        BTreeMap::from([("model".to_string(), order.setup.model.to_string())]);
                     engine.order(self.now, order.fence, setup);
                 }
             }
@@ -449,7 +541,14 @@
         let Some(target) = target else {
             return;
         };
-        let (a, b) = (&self.nodes[from].data_centre, &self.nodes[target].data_centre);
+        if let wire::Body::Grant(grant) = &body {
+            let text = format!("i{from} grants {} to i{target}", grant.server);
+            self.note(text);
+        }
+        let (a, b) = (
+            &self.nodes[from].data_centre,
+            &self.nodes[target].data_centre,
+        );
         if !self.reaches(a, b) || self.rng.f64() < self.loss {
             return;
         }
@@ -473,7 +572,14 @@
         let delay = self.delay() + late;
         let life = self.nodes[target].life;
         let input = Box::new(Input::Frame(frame));
-        self.schedule(delay, Action::Handle { node: target, life, input });
+        self.schedule(
+            delay,
+            Action::Handle {
+                node: target,
+                life,
+                input,
+            },
+        );
     }
 
     fn serve_store(&mut self, node: usize, life: u64, id: u64, call: store::Call, until: Time) {
@@ -486,7 +592,16 @@
         };
         if answer == store::Answer::Nothing && self.now < until {
             let delay = Duration::from_millis(20);
-            self.schedule(delay, Action::Store { node, life, id, call, until });
+            self.schedule(
+                delay,
+                Action::Store {
+                    node,
+                    life,
+                    id,
+                    call,
+                    until,
+                },
+            );
             return;
         }
         let lost = !call.is_read() && self.rng.f64() < faults.lost_answers;
@@ -553,8 +668,12 @@
             self.input(index, Input::Attempt(attempt, Event::Unreachable));
             return;
         }
-        self.note(format!("i{index} starts request {:x} on {server}", caller.marker.request));
+        self.note(format!(
+            "i{index} starts request {:x} on {server}",
+            caller.marker.request
+        ));
         crate::verdict::check_start(self, &there, index);
+        crate::verdict::check_poison(self, &caller.marker);
         let reader = Reader {
             node: index,
             life,
@@ -568,6 +687,7 @@
     fn start(&mut self, name: &Name, marker: &Marker, reader: Reader) {
         let now = self.now;
         let server = self.servers.get_mut(name).expect("the server is known");
+        let over_cold = server.over_cold();
         let failure = match &mut server.backend {
             Backend::Engine(engine) => {
                 let ask = standin::engine::Ask {
@@ -602,6 +722,21 @@
                 None => Some(Event::Refused),
             },
         };
+        if self.servers[name].over_cold() > over_cold {
+            let views: Vec<String> = self
+                .nodes
+                .iter()
+                .enumerate()
+                .filter_map(|(index, node)| Some((index, node.instance.view_of(name)?)))
+                .map(|(index, view)| format!("i{index} sees {view:?}"))
+                .collect();
+            let has = match &self.servers[name].backend {
+                Backend::Engine(engine) => engine.requests(),
+                Backend::Plain(_) => Vec::new(),
+            };
+            let text = format!("{name} is cold and got more than it bears: {has:x?}, {views:?}");
+            self.broken.push(text);
+        }
         match failure {
             Some(event) => self.input(reader.node, Input::Attempt(reader.attempt, event)),
             None => self.schedule_step(name),
@@ -615,7 +750,12 @@
         };
         if let Some(at) = next {
             let delay = at.saturating_sub(self.now);
-            self.schedule(delay, Action::Step { server: name.clone() });
+            self.schedule(
+                delay,
+                Action::Step {
+                    server: name.clone(),
+                },
+            );
         }
     }
 
@@ -635,7 +775,9 @@
         }
         for emission in emissions {
             let generation = match &emission {
-                Emission::Token { generation, .. } | Emission::End { generation, .. } => *generation,
+                Emission::Token { generation, .. } | Emission::End { generation, .. } => {
+                    *generation
+                }
                 Emission::Crash => continue,
             };
             self.emit(name, generation, emission);
@@ -682,7 +824,14 @@
             text: "done".into(),
         };
         self.emit(name, call, token);
-        self.emit(name, call, Emission::End { generation: call, total: 1 });
+        self.emit(
+            name,
+            call,
+            Emission::End {
+                generation: call,
+                total: 1,
+            },
+        );
     }
 
     /// Tells all readers of a server that crashed.
@@ -692,8 +841,31 @@
         for generation in generations {
             self.emit(name, generation, Emission::Crash);
         }
-        self.servers.get_mut(name).expect("the server is known").readers.clear();
+        self.servers
+            .get_mut(name)
+            .expect("the server is known")
+            .readers
+            .clear();
         self.note(format!("{name} is down"));
+        let delay = Duration::from_millis(self.rng.u64(500..2_000));
+        self.schedule(
+            delay,
+            Action::Restart {
+                server: name.clone(),
+            },
+        );
+    }
+
+    fn restart_server(&mut self, name: &Name) {
+        let server = self.servers.get_mut(name).expect("the server is known");
+        match &mut server.backend {
+            Backend::Engine(engine) if !engine.is_up() => engine.restart(),
+            Backend::Plain(plain) if !plain.is_up() => plain.restart(),
+            _ => return,
+        }
+        server.listed.leaving = false;
+        server.listed.reclaimed = false;
+        self.note(format!("{name} starts anew"));
     }
 
     fn arrive(
@@ -710,7 +882,16 @@
         }
         if node.paused_until > self.now {
             let delay = node.paused_until - self.now;
-            self.schedule(delay, Action::Arrive { node: index, life, request, attempt, emission });
+            self.schedule(
+                delay,
+                Action::Arrive {
+                    node: index,
+                    life,
+                    request,
+                    attempt,
+                    emission,
+                },
+            );
             return;
         }
         let Some(stream) = node.streams.get_mut(&request) else {
@@ -720,7 +901,10 @@
             return;
         };
         if let Event::Complete { .. } = event {
-            let stream = self.nodes[index].streams.remove(&request).expect("the stream is there");
+            let stream = self.nodes[index]
+                .streams
+                .remove(&request)
+                .expect("the stream is there");
             crate::verdict::check_answer(self, request & 0xffff_ffff, &stream.relay);
         }
         self.handle(index, life, Input::Attempt(attempt, event));
@@ -733,7 +917,10 @@
         }
         let requests: Vec<RequestId> = self.nodes[index].streams.keys().copied().collect();
         for request in requests {
-            let stream = self.nodes[index].streams.get_mut(&request).expect("it was listed");
+            let stream = self.nodes[index]
+                .streams
+                .get_mut(&request)
+                .expect("it was listed");
             match stream.look(self.now) {
                 Look::Fine => {}
                 Look::Resume { generation, from } => self.resume(index, request, generation, from),
@@ -750,14 +937,20 @@
     fn resume(&mut self, index: usize, request: RequestId, generation: u64, from: u32) {
         let stream = &self.nodes[index].streams[&request];
         let (name, attempt) = (stream.server.clone(), stream.attempt);
-        let (here, there) = (&self.nodes[index].data_centre, &self.servers[&name].data_centre);
+        let (here, there) = (
+            &self.nodes[index].data_centre,
+            &self.servers[&name].data_centre,
+        );
         let reached = self.reaches(here, there) && self.reaches(there, here);
         let server = self.servers.get_mut(&name).expect("the server is known");
         let missed = match &mut server.backend {
             Backend::Engine(engine) if reached && engine.is_up() => engine.resume(generation, from),
             _ => None,
         };
-        let stream = self.nodes[index].streams.get_mut(&request).expect("it was listed");
+        let stream = self.nodes[index]
+            .streams
+            .get_mut(&request)
+            .expect("it was listed");
         if !reached && !stream.note_unreached(self.now) {
             return;
         }
@@ -774,7 +967,10 @@
             }
             None => {
                 let event = stream.lost(attempt, reached);
-                self.input(index, Input::Attempt(attempt, event.expect("the attempt is current")));
+                self.input(
+                    index,
+                    Input::Attempt(attempt, event.expect("the attempt is current")),
+                );
             }
         }
     }
@@ -809,7 +1005,10 @@
             return;
         }
         let number = self.callers.len() as u64 + 1;
-        let route = *self.rng.choice(["letter", "bulletin", "status", "mark", "mark"].iter()).expect("one");
+        let route = *self
+            .rng
+            .choice(["letter", "bulletin", "status", "mark", "mark"].iter())
+            .expect("one");
         let plain = matches!(route, "status" | "mark");
         let tail = if self.rng.f64() < 0.1 { 300 } else { 40 };
         let marker = Marker {
@@ -845,7 +1044,9 @@
         caller.sends += 1;
         caller.node = (index, life);
         let id = number | u64::from(caller.sends) << 32;
-        let key = caller.once.then(|| once::hash_key("org", "mark", &number.to_string()));
+        let key = caller
+            .once
+            .then(|| once::hash_key("org", "mark", &number.to_string()));
         let request = Request {
             id,
             organisation: "org".into(),
@@ -922,7 +1123,10 @@
             }
         }
         for number in lost {
-            self.callers.get_mut(&number).expect("it was listed").only_refusals = false;
+            self.callers
+                .get_mut(&number)
+                .expect("it was listed")
+                .only_refusals = false;
             self.send_request(number);
         }
     }
@@ -954,7 +1158,8 @@
         r#"put route letter {"pool":"letters","deadline_ms":4000}"#.into(),
         r#"put route bulletin {"pool":"letters","delivery":"whole","deadline_ms":4000}"#.into(),
         r#"put route status {"pool":"marks","deadline_ms":3000,"class":"interactive"}"#.into(),
-        r#"put route mark {"pool":"marks","idempotent":false,"rerun":false,"deadline_ms":3000}"#.into(),
+        r#"put route mark {"pool":"marks","idempotent":false,"rerun":false,"deadline_ms":3000}"#
+            .into(),
     ]);
     vec![lines.join("\n")]
 }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -375,7 +375,11 @@
         }
         self.forget(now);
         let prefilled = self.admit();
-        if self.batch.iter().any(|id| self.generations[id].ask.marker.poison) {
+        if self
+            .batch
+            .iter()
+            .any(|id| self.generations[id].ask.marker.poison)
+        {
             self.crash();
             return vec![Emission::Crash];
         }
@@ -420,6 +424,14 @@
         true
     }
 
+    /// Returns the requests that it runs or that wait in it.
+    pub fn requests(&self) -> Vec<u64> {
+        let present = self.batch.iter().chain(&self.waiting);
+        present
+            .map(|id| self.generations[id].ask.marker.request)
+            .collect()
+    }
+
     /// Returns what it serves.
     pub fn setup(&self) -> &BTreeMap<String, String> {
         &self.setup
@@ -496,7 +508,10 @@
         let mut order: Vec<u64> = self.waiting.iter().copied().collect();
         order.sort_by_key(|id| {
             let generation = &self.generations[id];
-            (std::cmp::Reverse(generation.ask.priority), generation.arrived)
+            (
+                std::cmp::Reverse(generation.ask.priority),
+                generation.arrived,
+            )
         });
         for id in order {
             let fits = self.used() + self.held(id) <= self.settings.capacity;
@@ -515,8 +530,7 @@
 
     /// Preempts generations until the next step fits into memory.
     fn make_room(&mut self) {
-        while self.batch.len() > 1
-            && self.used() + self.batch.len() as u64 > self.settings.capacity
+        while self.batch.len() > 1 && self.used() + self.batch.len() as u64 > self.settings.capacity
         {
             let victim = self
                 .batch
@@ -524,7 +538,10 @@
                 .copied()
                 .min_by_key(|id| {
                     let generation = &self.generations[id];
-                    (generation.ask.priority, std::cmp::Reverse(generation.arrived))
+                    (
+                        generation.ask.priority,
+                        std::cmp::Reverse(generation.arrived),
+                    )
                 })
                 .expect("the batch is not empty");
             self.batch.retain(|id| *id != victim);
@@ -581,7 +598,9 @@
             .generations
             .iter()
             .filter(|(_, generation)| {
-                let ended = generation.ended.is_some_and(|at| now.saturating_sub(at) > ENDED_TIME);
+                let ended = generation
+                    .ended
+                    .is_some_and(|at| now.saturating_sub(at) > ENDED_TIME);
                 let unread = generation
                     .unread_since
                     .is_some_and(|at| now.saturating_sub(at) > UNREAD_TIME);
@@ -652,7 +671,10 @@
         }
         let (_, emissions) = run(&mut engine);
         assert!(engine.record.preemptions > 0);
-        let tokens = emissions.iter().filter(|e| matches!(e, Emission::Token { .. })).count();
+        let tokens = emissions
+            .iter()
+            .filter(|e| matches!(e, Emission::Token { .. }))
+            .count();
         assert_eq!(tokens, 160);
     }
 
--- a/crates/standin/src/token.rs
+++ b/crates/standin/src/token.rs
@@ -21,7 +21,10 @@
     pub fn to_text(self) -> String {
         let sampled = if self.sampled { " sampled" } else { "" };
         let poison = if self.poison { " poison" } else { "" };
-        format!("[request={:x} length={}{sampled}{poison}]", self.request, self.length)
+        format!(
+            "[request={:x} length={}{sampled}{poison}]",
+            self.request, self.length
+        )
     }
 
     /// Returns the marker at the start of a prompt, or the default one.
@@ -30,7 +33,9 @@
             length: 16,
             ..Marker::default()
         };
-        let inner = text.split_once('[').and_then(|(_, rest)| rest.split_once(']'));
+        let inner = text
+            .split_once('[')
+            .and_then(|(_, rest)| rest.split_once(']'));
         let Some((inner, _)) = inner else {
             return marker;
         };
@@ -69,6 +74,9 @@
             sampled: true,
             poison: false,
         };
-        assert_eq!(Marker::from_text(&format!("{} Dear", marker.to_text())), marker);
+        assert_eq!(
+            Marker::from_text(&format!("{} Dear", marker.to_text())),
+            marker
+        );
     }
 }
--- a/crates/store/src/lease.rs
+++ b/crates/store/src/lease.rs
@@ -159,7 +159,12 @@
         let own = revision != 0 && value == self.owner.to_le_bytes();
         match self.state {
             // A renewal whose answer was lost left a newer revision of our own.
-            State::Held { fence, since, until, .. } if own => {
+            State::Held {
+                fence,
+                since,
+                until,
+                ..
+            } if own => {
                 self.state = State::Held {
                     revision,
                     fence,
--- a/crates/stream/src/lib.rs
+++ b/crates/stream/src/lib.rs
@@ -187,7 +187,9 @@
     /// Takes a frame of an attempt.
     pub fn accept(&mut self, attempt: AttemptId, frame: Frame) -> Verdict {
         let bound = self.attempt == Some(attempt) && !self.failed;
-        let same = self.generation.is_none_or(|known| known == frame.generation);
+        let same = self
+            .generation
+            .is_none_or(|known| known == frame.generation);
         if !bound || !same || frame.index != self.next {
             self.dropped += 1;
             return Verdict::Drop;
@@ -294,9 +296,15 @@
     /// What may happen to an answer.
     #[derive(Clone, Debug)]
     enum Step {
-        Frame { attempt: u64, generation: u64, index: u32 },
+        Frame {
+            attempt: u64,
+            generation: u64,
+            index: u32,
+        },
         Rerun,
-        Finish { total: u32 },
+        Finish {
+            total: u32,
+        },
     }
 
     fn step() -> impl Strategy<Value = Step> {
@@ -370,10 +378,24 @@
         let mut relay = Relay::new(false);
         relay.bind(1);
         for index in 0..3 {
-            relay.accept(1, Frame { generation: 1, index, token: token(0, index, false) });
+            relay.accept(
+                1,
+                Frame {
+                    generation: 1,
+                    index,
+                    token: token(0, index, false),
+                },
+            );
         }
         relay.rebind(2).unwrap();
-        relay.accept(2, Frame { generation: 2, index: 0, token: token(0, 0, false) });
+        relay.accept(
+            2,
+            Frame {
+                generation: 2,
+                index: 0,
+                token: token(0, 0, false),
+            },
+        );
         assert!(!relay.finish(2, 2, 1));
         assert!(relay.is_cut_by(1));
     }
