Serve the whole path as a daemon, with a client and a quickstart

Cause: the decisions had no sockets. The daemon wraps them in actors under one supervisor; a relay for each request takes tokens into its answer; the stand-ins stand on loopback.

--- a/crates/admit/src/cell.rs
+++ b/crates/admit/src/cell.rs
@@ -37,6 +37,9 @@
 pub const ASK_SILENCE: Duration = Duration::from_millis(2_500);
 /// Time for which the work of a holder that died counts as running.
 const ORPHAN_TIME: Duration = Duration::from_secs(5);
+/// Time after which an attempt that no report names any more is forgotten. Holders report in full
+/// more than twice in that time.
+const UNHEARD_TIME: Duration = Duration::from_secs(13);
 /// Share of the like generations whose length the prediction covers.
 const PREDICTED_SHARE: f64 = 0.75;
 /// Time over which the rate of service is measured.
@@ -119,6 +122,7 @@
     since: Time,
     confirmed: bool,
     asked_after: Time,
+    heard: Time,
 }
 
 impl Cell {
@@ -425,6 +429,7 @@
             since: now,
             confirmed: false,
             asked_after: now,
+            heard: now,
         };
         self.prefixes.add(&name, &ask.work.prefixes);
         self.placed.insert(ask.attempt, placed);
@@ -627,14 +632,17 @@
                     since: now,
                     confirmed: true,
                     asked_after: now,
+                    heard: now,
                 });
                 placed.confirmed = true;
+                placed.heard = now;
                 placed.generated = placed.generated.max(*generated);
                 true
             }
             Item::Progress { attempt, generated } => match self.placed.get_mut(attempt) {
                 Some(placed) => {
                     placed.confirmed = true;
+                    placed.heard = now;
                     placed.generated = placed.generated.max(*generated);
                     true
                 }
@@ -698,10 +706,11 @@
         let gone = &self.gone;
         self.placed.retain(|_, placed| {
             let unused = !placed.confirmed && now.saturating_sub(placed.since) >= GRANT_LIFETIME;
+            let unheard = now.saturating_sub(placed.heard) >= UNHEARD_TIME;
             let orphaned = gone
                 .get(&placed.holder)
                 .is_some_and(|at| now.saturating_sub(*at) >= ORPHAN_TIME);
-            !unused && !orphaned
+            !unused && !orphaned && !unheard
         });
         self.decay_rate(now);
     }
--- a/crates/burn/src/report.rs
+++ b/crates/burn/src/report.rs
@@ -4,6 +4,7 @@
 
 use compact_str::CompactString;
 use conf::Config;
+use query::rows::Table;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -143,6 +144,43 @@
     }
 }
 
+/// Returns the objectives as rows.
+pub fn to_table(burns: &[Burn]) -> Table {
+    let columns = [
+        "route",
+        "organisation",
+        "objective",
+        "alarm",
+        "burn-5m",
+        "burn-1h",
+        "burn-6h",
+        "requests",
+        "hours-left",
+        "place",
+    ];
+    let mut table = Table::new(&columns);
+    let rounded = |rate: f64| (rate * 100.0).round() / 100.0;
+    for burn in burns {
+        let hours = burn
+            .hours_left
+            .map_or("-".into(), |hours| format!("{hours:.1}"));
+        let alarm = format!("{:?}", burn.alarm).to_lowercase();
+        table.push(vec![
+            burn.route.as_str().into(),
+            burn.organisation.as_str().into(),
+            burn.aspect.as_str().into(),
+            alarm.into(),
+            rounded(burn.rates[0]).into(),
+            rounded(burn.rates[1]).into(),
+            rounded(burn.rates[2]).into(),
+            burn.requests.into(),
+            hours.into(),
+            burn.place.as_str().into(),
+        ]);
+    }
+    table
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/core/src/home.rs
+++ b/crates/core/src/home.rs
@@ -407,6 +407,7 @@
         if self.now >= self.home.next_probe {
             self.home.next_probe = self.now + PROBE_PERIOD;
             self.probe_servers();
+            self.refresh_reports();
         }
         self.flush_reports();
     }
@@ -586,6 +587,27 @@
             .collect()
     }
 
+    /// Reports in full from time to time whatever runs.
+    fn refresh_reports(&mut self) {
+        let now = self.now;
+        let due: Vec<(Name, Name)> = self
+            .home
+            .reporters
+            .iter()
+            .filter(|(_, r)| now.saturating_sub(r.full_at) >= FULL_PERIOD)
+            .map(|(key, _)| key.clone())
+            .collect();
+        for (data_centre, pool) in due {
+            if self.running_items(&data_centre, &pool).is_empty() {
+                if let Some(reporter) = self.home.reporters.get_mut(&(data_centre, pool)) {
+                    reporter.full_at = now;
+                }
+            } else {
+                self.report_in_full(&data_centre, &pool);
+            }
+        }
+    }
+
     fn flush_reports(&mut self) {
         let now = self.now;
         let due: Vec<(Name, Name)> = self
--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -21,6 +21,8 @@
 use wire::InstanceId;
 use wire::Name;
 use wire::RequestId;
+use wire::gossip::Entry;
+use wire::gossip::State;
 
 use crate::baseline::Baseline;
 use crate::claims::Endings;
@@ -201,6 +203,20 @@
         self.settings.own.id
     }
 
+    /// Returns how an instance is found.
+    pub fn entry(&self, id: InstanceId) -> Option<Entry> {
+        self.members.entry(id).cloned()
+    }
+
+    /// Returns how all other instances that run are found.
+    pub fn others(&self) -> Vec<Entry> {
+        self.members
+            .rumours()
+            .filter(|rumour| rumour.state != State::Dead && rumour.entry.id != self.id())
+            .map(|rumour| rumour.entry.clone())
+            .collect()
+    }
+
     /// Returns the configuration in force.
     pub fn config(&self) -> &conf::Config {
         self.config.follower.config()
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -31,6 +31,8 @@
     Barred,
     /// A second generation differed from what was delivered.
     Diverged,
+    /// Its caller went away.
+    Cancelled,
 }
 
 impl Reason {
@@ -48,6 +50,7 @@
             Reason::RetriesSpent => "retries-spent",
             Reason::Barred => "barred",
             Reason::Diverged => "diverged",
+            Reason::Cancelled => "cancelled",
         }
     }
 }
--- a/crates/core/src/serve.rs
+++ b/crates/core/src/serve.rs
@@ -80,8 +80,12 @@
             return;
         }
         self.stop_running(id, End::Cancelled);
-        let reason = Reason::Lost;
-        self.forget(id, reason);
+        let outcome = Outcome::of_unserved(&self.jobs[&id], Reason::Cancelled, None);
+        self.out.push(Output::Finish {
+            request: id,
+            outcome,
+        });
+        self.forget(id, Reason::Cancelled);
     }
 
     /// Gives the job's timer a new time.
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -6,6 +6,9 @@
 use wire::Name;
 use wire::gossip::Entry;
 
+/// Distinct crashed servers that bar a request.
+pub const STRIKES_DEFAULT: usize = suspect::LIMIT_DEFAULT;
+
 /// How a backend server is chosen.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Policy {
--- /dev/null
+++ b/crates/gateway/src/decider.rs
@@ -0,0 +1,367 @@
+//! The actor that owns the decisions.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use clock::Clock;
+use clock::Time;
+use conf::Config;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use wigeon_core::Input;
+use wigeon_core::Instance;
+use wigeon_core::Outcome;
+use wigeon_core::Output;
+use wigeon_core::Request;
+use wigeon_core::message::CommandLine;
+use wigeon_core::message::CommandReply;
+use wigeon_core::message::Dispatch;
+use wire::AttemptId;
+use wire::InstanceId;
+use wire::RequestId;
+use wire::gossip::Entry;
+use xtra::Actor;
+use xtra::Address;
+use xtra::Context;
+use xtra::Handler;
+
+use crate::backend;
+use crate::http::HttpClient;
+use crate::metrics::Metrics;
+use crate::peers::Peers;
+use crate::peers::Post;
+use crate::platform::Make;
+use crate::platform::Platform;
+
+/// What the decider tells the relay of a request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Order {
+    /// Make an attempt.
+    Dispatch(Dispatch),
+    /// Stop an attempt.
+    Cancel(AttemptId),
+    /// The request has ended.
+    Finish(Outcome),
+    /// The decider has been replaced and knows nothing of what runs.
+    Orphan,
+}
+
+/// The relays of all requests, by which a new decider finds them.
+#[derive(Debug, Default)]
+pub struct Relays {
+    inner: Mutex<HashMap<RequestId, Entered>>,
+}
+
+#[derive(Debug)]
+struct Entered {
+    request: Request,
+    orders: mpsc::UnboundedSender<Order>,
+    dispatched: bool,
+}
+
+impl Relays {
+    /// Enters a request, and returns the orders for its relay.
+    pub fn enter(&self, request: Request) -> mpsc::UnboundedReceiver<Order> {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        let entered = Entered {
+            orders: sender,
+            dispatched: false,
+            request: request.clone(),
+        };
+        self.lock().insert(request.id, entered);
+        receiver
+    }
+
+    /// Removes a request.
+    pub fn leave(&self, id: RequestId) {
+        self.lock().remove(&id);
+    }
+
+    fn order(&self, id: RequestId, order: Order) {
+        if let Some(entered) = self.lock().get_mut(&id) {
+            entered.dispatched |= matches!(order, Order::Dispatch(_));
+            let _ = entered.orders.send(order);
+        }
+    }
+
+    /// Tells the relays that run something that they are on their own, and returns the requests that
+    /// were never dispatched, which can be asked for again.
+    fn orphan(&self) -> Vec<Request> {
+        let mut again = Vec::new();
+        for entered in self.lock().values() {
+            if entered.dispatched {
+                let _ = entered.orders.send(Order::Orphan);
+            } else {
+                again.push(entered.request.clone());
+            }
+        }
+        again
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<RequestId, Entered>> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// What the decider shows to the other parts.
+#[derive(Clone, Debug)]
+pub struct Status {
+    /// The configuration in force.
+    pub config: Arc<Config>,
+    /// Whether callers may be sent here.
+    pub ready: bool,
+    /// Whether no request is left.
+    pub idle: bool,
+    /// The incarnation.
+    pub id: InstanceId,
+}
+
+/// What a decider is made with.
+pub struct Links {
+    /// The clock.
+    pub clock: Arc<dyn Clock>,
+    /// Sends frames.
+    pub peers: Address<Peers>,
+    /// Calls the platform.
+    pub platform: Address<Platform>,
+    /// Calls backend servers.
+    pub client: HttpClient,
+    /// The relays of all requests.
+    pub relays: Arc<Relays>,
+    /// Where the status is shown.
+    pub status: watch::Sender<Status>,
+    /// When the next wake is due.
+    pub wake: watch::Sender<Option<Time>>,
+    /// Counters.
+    pub metrics: Arc<Metrics>,
+    /// The address of the decider itself.
+    pub own: Address<Decider>,
+}
+
+/// The actor that owns the decisions.
+pub struct Decider {
+    instance: Instance,
+    links: Arc<Links>,
+    replies: HashMap<u64, oneshot::Sender<CommandReply>>,
+    calls: u64,
+    restarted: bool,
+}
+
+impl Decider {
+    /// Returns the first decider of a process, or a later one that takes over its relays.
+    pub fn new(instance: Instance, links: Arc<Links>, restarted: bool) -> Decider {
+        Decider {
+            instance,
+            links,
+            replies: HashMap::new(),
+            calls: 0,
+            restarted,
+        }
+    }
+
+    async fn take(&mut self, input: Input) {
+        let clock = self.links.clock.clone();
+        let outputs = self.instance.handle(clock.now(), clock.wall(), input);
+        for output in outputs {
+            self.carry_out(output).await;
+        }
+        self.show();
+    }
+
+    async fn carry_out(&mut self, output: Output) {
+        let links = self.links.clone();
+        match output {
+            Output::Dispatch(dispatch) => {
+                links.metrics.attempt();
+                let request = dispatch.request;
+                links.relays.order(request, Order::Dispatch(dispatch));
+            }
+            Output::Cancel { request, attempt } => {
+                links.relays.order(request, Order::Cancel(attempt));
+            }
+            Output::Finish { request, outcome } => {
+                links.relays.order(request, Order::Finish(outcome));
+            }
+            Output::Send { address, to, body } => {
+                let post = Post { address, to, body };
+                let _ = links.peers.send(post).detach().await;
+            }
+            Output::Store(sent) => {
+                links.metrics.store_call();
+                let _ = links.platform.send(Make(sent)).detach().await;
+            }
+            Output::Probe { server, address } => {
+                tokio::spawn(async move {
+                    let report = backend::report(links.client.clone(), address).await;
+                    let input = Input::Report(server, report);
+                    let _ = links.own.send(Take(input)).detach().await;
+                });
+            }
+            Output::Order { address, order } => {
+                // Asked once more, right before the sending.
+                if self.instance.may_send(links.clock.now(), &order) {
+                    tokio::spawn(backend::order(links.client.clone(), address, order));
+                }
+            }
+            Output::Reply { id, reply } => {
+                if let Some(sender) = self.replies.remove(&id) {
+                    let _ = sender.send(reply);
+                }
+            }
+            Output::Config(config) => {
+                links.metrics.set_config_version(config.version);
+                links.status.send_modify(|status| status.config = config);
+            }
+            Output::Log { part, warn, text } => {
+                if warn {
+                    log::warn!("{part}: {text}");
+                } else {
+                    log::info!("{part}: {text}");
+                }
+            }
+        }
+    }
+
+    fn show(&mut self) {
+        let (ready, idle) = (self.instance.is_ready(), self.instance.is_idle());
+        self.links.status.send_if_modified(|status| {
+            let changed = status.ready != ready || status.idle != idle;
+            status.ready = ready;
+            status.idle = idle;
+            changed
+        });
+        let wake = self.instance.next_wake();
+        self.links.wake.send_replace(wake);
+        for (violation, count) in self.instance.violations() {
+            self.links
+                .metrics
+                .set_violations(violation.as_str(), *count);
+        }
+        self.calls = self.instance.store_calls();
+    }
+}
+
+impl Actor for Decider {
+    type Stop = ();
+
+    async fn started(&mut self, _: &xtra::Mailbox<Decider>) -> Result<(), ()> {
+        if self.restarted {
+            for request in self.links.relays.orphan() {
+                self.take(Input::Request(request)).await;
+            }
+        }
+        self.take(Input::Wake).await;
+        Ok(())
+    }
+
+    async fn stopped(self) {}
+}
+
+/// An input.
+#[derive(Debug)]
+pub struct Take(pub Input);
+
+impl Handler<Take> for Decider {
+    type Return = ();
+
+    async fn handle(&mut self, Take(input): Take, _: &mut Context<Decider>) {
+        self.take(input).await;
+    }
+}
+
+/// A command of an operator, with the way to its answer.
+#[derive(Debug)]
+pub struct Tell {
+    /// The command.
+    pub command: CommandLine,
+    /// Where its answer goes.
+    pub reply: oneshot::Sender<CommandReply>,
+}
+
+impl Handler<Tell> for Decider {
+    type Return = ();
+
+    async fn handle(&mut self, tell: Tell, _: &mut Context<Decider>) {
+        self.replies.retain(|_, reply| !reply.is_closed());
+        self.replies.insert(tell.command.id, tell.reply);
+        self.take(Input::Command(tell.command)).await;
+    }
+}
+
+/// Asks how an instance is found.
+#[derive(Debug)]
+pub struct Find(pub InstanceId);
+
+impl Handler<Find> for Decider {
+    type Return = Option<Entry>;
+
+    async fn handle(&mut self, Find(id): Find, _: &mut Context<Decider>) -> Option<Entry> {
+        self.instance.entry(id)
+    }
+}
+
+/// Asks how all other instances that run are found.
+#[derive(Debug)]
+pub struct Others;
+
+impl Handler<Others> for Decider {
+    type Return = Vec<Entry>;
+
+    async fn handle(&mut self, _: Others, _: &mut Context<Decider>) -> Vec<Entry> {
+        self.instance.others()
+    }
+}
+
+/// Asks for the counts of the service-level objectives.
+#[derive(Debug)]
+pub struct Burning;
+
+impl Handler<Burning> for Decider {
+    type Return = burn::Snapshot;
+
+    async fn handle(&mut self, _: Burning, _: &mut Context<Decider>) -> burn::Snapshot {
+        self.instance.burn()
+    }
+}
+
+/// Makes the decider panic, to show that its supervisor replaces it. Only tests send it.
+#[derive(Debug)]
+pub struct Break;
+
+impl Handler<Break> for Decider {
+    type Return = ();
+
+    async fn handle(&mut self, _: Break, _: &mut Context<Decider>) {
+        panic!("broken on purpose");
+    }
+}
+
+/// Wakes the decider when something is due, for as long as the instance lives.
+pub async fn keep_time(
+    clock: Arc<dyn Clock>,
+    mut wake: watch::Receiver<Option<Time>>,
+    decider: Address<Decider>,
+) {
+    /// Least time between two wakes.
+    const STEP: std::time::Duration = std::time::Duration::from_millis(1);
+    loop {
+        let due = *wake.borrow_and_update();
+        let pause = due.map(|due| due.saturating_sub(clock.now()).max(STEP));
+        let sleep = async {
+            match pause {
+                Some(pause) => tokio::time::sleep(pause).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            () = sleep => {
+                // Awaited, so that a decider that is behind is not woken again and again.
+                let _ = decider.send(Take(Input::Wake)).await;
+            }
+            changed = wake.changed() => if changed.is_err() { return },
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/http.rs
@@ -0,0 +1,167 @@
+//! What all HTTP parts share.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use http_body_util::combinators::BoxBody;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderValue;
+use hyper::service::service_fn;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use hyper_util::server::conn::auto;
+use hyper_util::server::graceful::GracefulShutdown;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+/// A body of any kind.
+pub type Body = BoxBody<Bytes, Infallible>;
+/// A client for any address.
+pub type HttpClient = Client<HttpConnector, Full<Bytes>>;
+
+/// Greatest body of a request, in bytes.
+pub const BODY_BYTES: usize = 1_024 * 1_024;
+/// Longest time that a caller takes to send its header or its body.
+const READ_TIME: Duration = Duration::from_secs(15);
+/// Longest time that a connection takes.
+const CONNECT_TIME: Duration = Duration::from_millis(1_000);
+/// Buffer of one connection, in bytes.
+const BUFFER_BYTES: usize = 16 * 1_024;
+
+/// Why a body could not be read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum BodyError {
+    /// It is longer than [`BODY_BYTES`].
+    TooLarge,
+    /// It came too slowly.
+    TooSlow,
+    /// The connection broke.
+    Broken,
+}
+
+/// Returns a client whose connections are kept for the next request, or not.
+pub fn client(keep: bool) -> HttpClient {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(CONNECT_TIME));
+    let mut builder = Client::builder(TokioExecutor::new());
+    if !keep {
+        builder.pool_max_idle_per_host(0);
+    }
+    builder.http1_max_buf_size(BUFFER_BYTES);
+    builder.build(connector)
+}
+
+/// Returns a request to an address.
+///
+/// # Panics
+///
+/// If the path is not one.
+pub fn request(
+    method: &str,
+    address: SocketAddr,
+    path: &str,
+    body: impl Into<Bytes>,
+) -> Request<Full<Bytes>> {
+    Request::builder()
+        .method(method)
+        .uri(format!("http://{address}{path}"))
+        .body(Full::new(body.into()))
+        .expect("the path is one")
+}
+
+/// Returns a response with a JSON body.
+pub fn json(status: StatusCode, body: impl Into<Bytes>) -> Response<Body> {
+    let mut response = Response::new(Full::new(body.into()).boxed());
+    *response.status_mut() = status;
+    let media = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, media);
+    response
+}
+
+/// Returns a response with a text body.
+pub fn text(status: StatusCode, body: impl Into<Bytes>) -> Response<Body> {
+    let mut response = json(status, body);
+    let media = HeaderValue::from_static("text/plain; charset=utf-8");
+    response.headers_mut().insert(CONTENT_TYPE, media);
+    response
+}
+
+/// Reads a whole body.
+///
+/// # Errors
+///
+/// If it is too large, too slow or cut.
+pub async fn read_body(body: Incoming) -> Result<Bytes, BodyError> {
+    let limited = Limited::new(body, BODY_BYTES).collect();
+    match tokio::time::timeout(READ_TIME, limited).await {
+        Err(_) => Err(BodyError::TooSlow),
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            Err(BodyError::TooLarge)
+        }
+        Ok(Err(_)) => Err(BodyError::Broken),
+    }
+}
+
+/// Returns the bearer token of a request.
+pub fn bearer<T>(request: &Request<T>) -> Option<&str> {
+    let value = request.headers().get("authorization")?.to_str().ok()?;
+    value.strip_prefix("Bearer ")
+}
+
+/// Serves a listener until it is told to stop, and then until its last connection has ended.
+pub async fn serve<H, F>(listener: TcpListener, mut stop: watch::Receiver<bool>, handler: H)
+where
+    H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    let handler = Arc::new(handler);
+    let graceful = GracefulShutdown::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|stop| *stop) => break,
+        };
+        let Ok((stream, _)) = accepted else {
+            // Out of file descriptors, most likely; the next one may find some.
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let handler = handler.clone();
+        let service = service_fn(move |request| {
+            let response = handler(request);
+            async move { Ok::<_, Infallible>(response.await) }
+        });
+        let mut builder = auto::Builder::new(TokioExecutor::new());
+        builder
+            .http1()
+            .timer(TokioTimer::new())
+            .header_read_timeout(READ_TIME)
+            .max_buf_size(BUFFER_BYTES);
+        builder.http2().timer(TokioTimer::new());
+        let connection = builder
+            .serve_connection(TokioIo::new(stream), service)
+            .into_owned();
+        let watched = graceful.watch(connection);
+        tokio::spawn(async move {
+            let _ = watched.await;
+        });
+    }
+    drop(listener);
+    graceful.shutdown().await;
+}
--- /dev/null
+++ b/crates/gateway/src/platform.rs
@@ -0,0 +1,165 @@
+//! The adapter to the key-value service and the list.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use http_body_util::BodyExt;
+use hyper::StatusCode;
+use serde::Deserialize;
+use store::Answer;
+use store::Call;
+use store::Sent;
+use wigeon_core::Input;
+use wigeon_core::Listed;
+use wigeon_core::message::ListedServer;
+use xtra::Actor;
+use xtra::Address;
+use xtra::Context;
+use xtra::Handler;
+
+use crate::decider::Decider;
+use crate::decider::Take;
+use crate::http;
+use crate::http::HttpClient;
+
+/// Time between two readings of the list.
+const LIST_PERIOD: Duration = Duration::from_millis(500);
+/// Longest wait for the list.
+const LIST_TIME: Duration = Duration::from_millis(1_000);
+/// Longest wait for a watch, which the service ends by itself before.
+const WATCH_TIME: Duration = Duration::from_secs(12);
+
+/// The actor that speaks to the platform.
+#[derive(Debug)]
+pub struct Platform {
+    address: SocketAddr,
+    client: HttpClient,
+    decider: Address<Decider>,
+}
+
+impl Platform {
+    /// Returns an actor that tells the decider what the platform answers.
+    pub fn new(address: SocketAddr, decider: Address<Decider>) -> Platform {
+        Platform {
+            address,
+            client: http::client(true),
+            decider,
+        }
+    }
+}
+
+impl Actor for Platform {
+    type Stop = ();
+
+    async fn stopped(self) {}
+}
+
+/// A call to be made.
+#[derive(Debug)]
+pub struct Make(pub Sent);
+
+impl Handler<Make> for Platform {
+    type Return = ();
+
+    async fn handle(&mut self, Make(sent): Make, _: &mut Context<Platform>) {
+        let (address, client) = (self.address, self.client.clone());
+        let decider = self.decider.clone();
+        tokio::spawn(async move {
+            let answer = call(&client, address, &sent).await;
+            let _ = decider
+                .send(Take(Input::Store(sent.id, answer)))
+                .detach()
+                .await;
+        });
+    }
+}
+
+async fn call(client: &HttpClient, address: SocketAddr, sent: &Sent) -> Answer {
+    let limit = match sent.call {
+        Call::Watch { .. } => WATCH_TIME,
+        _ => sent.timeout,
+    };
+    let Ok(body) = postcard::to_stdvec(&sent.call) else {
+        return Answer::Unreachable;
+    };
+    let request = http::request("POST", address, "/kv", body);
+    let calling = async {
+        let response = client.request(request).await.map_err(|error| {
+            if error.is_connect() {
+                Answer::Unreachable
+            } else {
+                Answer::Unknown
+            }
+        })?;
+        if response.status() != StatusCode::OK {
+            return Err(Answer::Unreachable);
+        }
+        let collected = response.into_body().collect().await;
+        let bytes = collected.map_err(|_| Answer::Unknown)?.to_bytes();
+        postcard::from_bytes(&bytes).map_err(|_| Answer::Unknown)
+    };
+    match tokio::time::timeout(limit, calling).await {
+        Ok(Ok(answer)) | Ok(Err(answer)) => answer,
+        Err(_) => Answer::Unknown,
+    }
+}
+
+#[derive(Deserialize)]
+struct WireEntry {
+    name: CompactString,
+    kind: CompactString,
+    data_centre: CompactString,
+    #[serde(default)]
+    label: CompactString,
+    address: SocketAddr,
+    #[serde(default)]
+    leaving: bool,
+    #[serde(default)]
+    reclaimed: bool,
+}
+
+/// Reads the list for as long as the instance lives.
+pub async fn read_list(address: SocketAddr, decider: Address<Decider>) {
+    let client = http::client(true);
+    loop {
+        if let Some(list) = list(&client, address).await {
+            let _ = decider.send(Take(Input::List(list))).detach().await;
+        }
+        tokio::time::sleep(LIST_PERIOD).await;
+    }
+}
+
+async fn list(client: &HttpClient, address: SocketAddr) -> Option<Vec<Listed>> {
+    let request = http::request("GET", address, "/list", "");
+    let asking = async {
+        let response = client.request(request).await.ok()?;
+        if response.status() != StatusCode::OK {
+            return None;
+        }
+        let bytes = response.into_body().collect().await.ok()?.to_bytes();
+        let entries: Vec<WireEntry> = serde_json::from_slice(&bytes).ok()?;
+        Some(entries.into_iter().map(to_listed).collect())
+    };
+    tokio::time::timeout(LIST_TIME, asking).await.ok()?
+}
+
+fn to_listed(entry: WireEntry) -> Listed {
+    if entry.kind == "instance" {
+        Listed::Instance(member::Listed {
+            name: entry.name,
+            data_centre: entry.data_centre,
+            peers: entry.address,
+            leaving: entry.leaving,
+        })
+    } else {
+        Listed::Server(ListedServer {
+            name: entry.name,
+            data_centre: entry.data_centre,
+            label: entry.label,
+            address: entry.address,
+            leaving: entry.leaving,
+            reclaimed: entry.reclaimed,
+        })
+    }
+}
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,21 @@
+//! Load and experiments against real daemons and stand-ins over loopback, in one process.
+//!
+//! # Overview
+//!
+//! A [`scenario::Scenario`] says how many data centres, instances and backend servers there are, who
+//! asks for what and what goes wrong when. [`run::run`] starts all of it as a [`fleet::Fleet`], sends
+//! the load, and judges what happened by what the callers and the stand-ins recorded
+//! ([`judge`]), not by the daemons' word. [`result::Outcome`] is what is printed.
+//!
+//! # Modules
+//!
+//! - [`scenario`]: what is run, with its checks.
+//! - [`fleet`]: instances and stand-ins.
+//! - [`caller`]: one request and what its caller saw.
+//! - [`run`]: load and events on one clock.
+//! - [`judge`]: violations.
+//! - [`result`]: measures.
+//! - [`plot`]: pictures.
+
+pub mod caller;
+pub mod fleet;
--- /dev/null
+++ b/crates/quickstart/src/main.rs
@@ -0,0 +1,238 @@
+//! The whole path in one process: instances of two data centres, engines, a plain service and the
+//! platform, a few requests, and a data centre that goes and comes back.
+
+use std::io::Write;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use argh::FromArgs;
+use compact_str::CompactString;
+use gateway::http;
+use gateway::http::HttpClient;
+use http_body_util::BodyExt;
+use load::fleet::Centre;
+use load::fleet::Fleet;
+use load::fleet::OPERATORS_TOKEN;
+use load::fleet::Plan;
+use serde_json::Value;
+use serde_json::json;
+use standin::token::Marker;
+use wigeon_core::Policy;
+
+/// Token of the organisation that asks.
+const TOKEN: &str = "sign-shop-token";
+
+/// Shows the whole path in one process.
+#[derive(FromArgs)]
+struct Arguments {
+    /// go on serving afterwards
+    #[argh(switch)]
+    stay: bool,
+}
+
+#[tokio::main]
+async fn main() -> anyhow::Result<()> {
+    let arguments: Arguments = argh::from_env();
+    println!("Starting three daemons in two data centres, four engines, a plain service, a store.");
+    let fleet = Fleet::start(&plan()).await?;
+    let client = http::client(true);
+    let callers = fleet.callers();
+
+    println!("\nA letter, token by token, through {}:", callers[0]);
+    stream(&client, callers[0], "letter", marker(1, 24)).await?;
+    println!("\nA bulletin, whole, through {}:", callers[1]);
+    whole(&client, callers[1], "bulletin", marker(2, 40)).await?;
+    println!("\nA status lookup through {}:", callers[2]);
+    call(&client, callers[2], "status", marker(3, 1), None).await?;
+    println!("\nA follow-up mark, sent twice with one key through two instances:");
+    for address in &callers[..2] {
+        call(&client, *address, "mark", marker(4, 1), Some("quote-17")).await?;
+    }
+
+    println!("\nTaking data centre east out:");
+    println!("  {}", fleet.command(2, "take out data-centre east").await?);
+    println!("A letter through an instance in east, which serves it elsewhere:");
+    stream(&client, callers[0], "letter", marker(5, 12)).await?;
+    println!("\nBringing data centre east back:");
+    println!(
+        "  {}",
+        fleet.command(0, "bring back data-centre east").await?
+    );
+    let shown = fleet.command(1, "show data-centres").await?;
+    println!("  {}", shown["table"]["rows"]);
+    print_starts(&fleet);
+
+    if arguments.stay {
+        stay(&fleet, &callers).await;
+    }
+    fleet.stop().await;
+    println!("\nDone.");
+    Ok(())
+}
+
+fn plan() -> Plan {
+    let centre = |name: &str, instances, plains| Centre {
+        name: name.into(),
+        instances,
+        engines: 2,
+        plains,
+    };
+    let token = conf::hash_token(TOKEN);
+    Plan {
+        centres: vec![centre("east", 2, 1), centre("west", 1, 0)],
+        engine: standin::engine::Settings {
+            step: Duration::from_millis(40),
+            ..standin::engine::Settings::default()
+        },
+        plain: standin::plain::Settings::default(),
+        policy: Policy::Home,
+        warm: false,
+        shutdown_delay: Duration::from_millis(500),
+        config: [
+            "put data-centre east {}",
+            "put data-centre west {}",
+            &format!(r#"put organisation sign-shop {{"token_hash": "{token}"}}"#),
+            r#"put pool engines {"cold_limit": 2, "batch": 16}"#,
+            r#"put pool plains {"service": "plain", "cold_limit": 2, "batch": 16}"#,
+            r#"put route letter {"pool": "engines"}"#,
+            r#"put route bulletin {"pool": "engines", "delivery": "whole"}"#,
+            r#"put route status {"pool": "plains", "class": "interactive"}"#,
+            r#"put route mark {"pool": "plains", "idempotent": false, "rerun": false}"#,
+        ]
+        .map(String::from)
+        .to_vec(),
+        seed: 1,
+    }
+}
+
+fn marker(request: u64, length: u32) -> Marker {
+    Marker {
+        request,
+        length,
+        ..Marker::default()
+    }
+}
+
+fn authorised(
+    mut request: hyper::Request<http_body_util::Full<bytes::Bytes>>,
+) -> anyhow::Result<hyper::Request<http_body_util::Full<bytes::Bytes>>> {
+    let value = format!("Bearer {TOKEN}").parse()?;
+    request.headers_mut().insert("authorization", value);
+    Ok(request)
+}
+
+fn completion(
+    address: SocketAddr,
+    route: &str,
+    marker: Marker,
+    stream: bool,
+) -> hyper::Request<http_body_util::Full<bytes::Bytes>> {
+    let prompt = format!("{} Please write.", marker.to_text());
+    let body = json!({"model": route, "prompt": prompt, "stream": stream});
+    http::request("POST", address, "/v1/completions", body.to_string())
+}
+
+async fn stream(
+    client: &HttpClient,
+    address: SocketAddr,
+    route: &str,
+    marker: Marker,
+) -> anyhow::Result<()> {
+    let request = authorised(completion(address, route, marker, true))?;
+    let response = client.request(request).await?;
+    print!("  ");
+    let mut body = response.into_body();
+    let mut text = String::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame?.into_data() else {
+            continue;
+        };
+        text.push_str(&String::from_utf8_lossy(&data));
+        while let Some((event, rest)) = text.split_once("\n\n") {
+            print_event(event);
+            text = rest.to_string();
+        }
+    }
+    println!();
+    anyhow::ensure!(text.is_empty(), "the stream ended within an event");
+    Ok(())
+}
+
+fn print_event(event: &str) {
+    let data = event.lines().find_map(|line| line.strip_prefix("data: "));
+    let value: Value = serde_json::from_str(data.unwrap_or("")).unwrap_or_default();
+    let token = value["choices"][0]["text"].as_str().unwrap_or("");
+    print!("{token}");
+    let _ = std::io::stdout().flush();
+}
+
+async fn whole(
+    client: &HttpClient,
+    address: SocketAddr,
+    route: &str,
+    marker: Marker,
+) -> anyhow::Result<()> {
+    let request = authorised(completion(address, route, marker, false))?;
+    let response = client.request(request).await?;
+    let bytes = response.into_body().collect().await?.to_bytes();
+    let value: Value = serde_json::from_slice(&bytes)?;
+    let text = value["choices"][0]["text"].as_str().unwrap_or("");
+    anyhow::ensure!(!text.is_empty(), "no answer: {value}");
+    let tokens = text.split_whitespace().count();
+    println!(
+        "  {tokens} tokens: {}...",
+        text.chars().take(40).collect::<String>()
+    );
+    Ok(())
+}
+
+async fn call(
+    client: &HttpClient,
+    address: SocketAddr,
+    route: &str,
+    marker: Marker,
+    key: Option<&str>,
+) -> anyhow::Result<()> {
+    let path = format!("/v1/call/{route}/run");
+    let mut request = authorised(http::request("POST", address, &path, marker.to_text()))?;
+    if let Some(key) = key {
+        request
+            .headers_mut()
+            .insert("idempotency-key", key.parse()?);
+    }
+    let response = client.request(request).await?;
+    let status = response.status();
+    let bytes = response.into_body().collect().await?.to_bytes();
+    println!("  {status} {}", String::from_utf8_lossy(&bytes));
+    anyhow::ensure!(status.is_success(), "the call was not answered");
+    Ok(())
+}
+
+/// Prints what the backend servers saw.
+fn print_starts(fleet: &Fleet) {
+    println!("\nWhat the backend servers saw:");
+    for server in &fleet.servers {
+        let requests: Vec<u64> = match &server.backend {
+            load::fleet::Backend::Engine(engine) => {
+                engine.with(|engine| engine.record.starts.iter().map(|start| start.1).collect())
+            }
+            load::fleet::Backend::Plain(plain) => {
+                plain.with(|plain| plain.record.starts.iter().map(|start| start.1).collect())
+            }
+        };
+        println!("  {:<16} requests {requests:?}", server.name);
+    }
+}
+
+async fn stay(fleet: &Fleet, callers: &[SocketAddr]) {
+    let operators: CompactString = fleet.nodes[0].0.operators.to_string().into();
+    println!("\nServing on. Try:");
+    println!(
+        "  curl -N http://{}/v1/completions -H 'Authorization: Bearer {TOKEN}' \\\n    -d '{{\"model\": \"letter\", \"prompt\": \"[request=9 length=50] Dear\", \"stream\": true}}'",
+        callers[0]
+    );
+    println!(
+        "  cargo run --release --bin wigeonctl -- --to {operators} --token {OPERATORS_TOKEN} show servers"
+    );
+    std::future::pending::<()>().await;
+}
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -131,7 +131,7 @@
 /// What an engine saw.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Record {
-    /// Starts of generations: time, request, attempt.
+    /// Starts of generations: time, request, generation.
     pub starts: Vec<(Duration, u64, u64)>,
     /// Times that it had more than a cold engine bears.
     pub over_cold: u64,
@@ -296,7 +296,7 @@
         self.next_generation += 1;
         let id = self.next_generation;
         let marker = ask.marker;
-        self.record.starts.push((now, marker.request, ask.attempt));
+        self.record.starts.push((now, marker.request, id));
         let cached = self.cached(&ask);
         let prefill = ask.prompt - cached;
         self.remember_prefixes(&ask.prefixes);
--- a/crates/wire/src/seal.rs
+++ b/crates/wire/src/seal.rs
@@ -46,6 +46,13 @@
         }
     }
 
+    /// Returns the sealer with numbers that begin after a given one, for a sender that has forgotten
+    /// which it used.
+    pub fn with_start(mut self, seq: u64) -> Sealer {
+        self.seq = seq;
+        self
+    }
+
     /// Returns the bytes of the next frame.
     ///
     /// # Panics
