--- a/crates/gateway/src/decider.rs
+++ b/crates/gateway/src/decider.rs
@@ -29,6 +29,7 @@
 use xtra::Handler;
 
 use crate::backend;
+use crate::barrier::Barrier;
 use crate::http::HttpClient;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
@@ -129,6 +130,8 @@
     pub platform: Address<Platform>,
     /// Calls backend servers.
     pub client: HttpClient,
+    /// Links that are cut.
+    pub barrier: Arc<Barrier>,
     /// The relays of all requests.
     pub relays: Arc<Relays>,
     /// Where the status is shown.
@@ -195,7 +198,11 @@
             }
             Output::Probe { server, address } => {
                 tokio::spawn(async move {
-                    let report = backend::report(links.client.clone(), address).await;
+                    let report = if links.barrier.cuts(address) {
+                        None
+                    } else {
+                        backend::report(links.client.clone(), address).await
+                    };
                     let input = Input::Report(server, report);
                     let _ = links.own.send(Take(input)).detach().await;
                 });
@@ -327,6 +334,18 @@
     }
 }
 
+/// Holds the decider still, as a paused process would be. Only experiments send it.
+#[derive(Debug)]
+pub struct Hold(pub std::time::Duration);
+
+impl Handler<Hold> for Decider {
+    type Return = ();
+
+    async fn handle(&mut self, Hold(time): Hold, _: &mut Context<Decider>) {
+        tokio::time::sleep(time).await;
+    }
+}
+
 /// Makes the decider panic, to show that its supervisor replaces it. Only tests send it.
 #[derive(Debug)]
 pub struct Break;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,11 +29,13 @@
 //! - [`backend`]: the adapter to model engines and plain services.
 //! - [`platform`]: the adapter to the key-value service and the list.
 //! - [`peers`]: frames on sockets.
+//! - [`barrier`]: links that an experiment has cut.
 //! - [`http`]: what all HTTP parts share.
 //! - [`metrics`]: counters and histograms.
 
 pub mod answer;
 pub mod backend;
+pub mod barrier;
 pub mod callers;
 pub mod decider;
 pub mod http;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -18,11 +18,13 @@
 use xtra::Mailbox;
 
 use crate::answer::Registry;
+use crate::barrier::Barrier;
 use crate::callers;
 use crate::callers::Callers;
 use crate::decider;
 use crate::decider::Break;
 use crate::decider::Decider;
+use crate::decider::Hold;
 use crate::decider::Links;
 use crate::decider::Relays;
 use crate::decider::Status;
@@ -55,6 +57,7 @@
     supervisor: Supervisor,
     servers: Vec<tokio::task::JoinHandle<()>>,
     metrics: Arc<Metrics>,
+    barrier: Arc<Barrier>,
 }
 
 impl Node {
@@ -77,6 +80,7 @@
             operators: operators.local_addr()?,
         };
         let metrics = Arc::new(Metrics::new());
+        let barrier = Arc::new(Barrier::default());
         let mut supervisor = Supervisor::new();
         let (decider, decider_mailbox) = Mailbox::unbounded();
         let (peers, peers_mailbox) = Mailbox::unbounded();
@@ -95,6 +99,7 @@
             peers,
             platform,
             client: client.clone(),
+            barrier: barrier.clone(),
             relays: relays.clone(),
             status: status_sender,
             wake,
@@ -112,6 +117,7 @@
         });
         let (peer_socket, peer_clock, peer_metrics) =
             (socket.clone(), clock.clone(), metrics.clone());
+        let peer_barrier = barrier.clone();
         supervisor.add("peers", peers_mailbox, move |restarts| {
             // The numbers of a new sealer must not repeat those of the one before.
             let sealer = seal::Sealer::new(secret, id).with_start(u64::from(restarts) << 40);
@@ -119,16 +125,22 @@
                 peer_socket.clone(),
                 sealer,
                 peer_clock.clone(),
+                peer_barrier.clone(),
                 peer_metrics.clone(),
             )
         });
         let (address, told) = (settings.platform, decider.clone());
+        let platform_barrier = barrier.clone();
         supervisor.add("platform", platform_mailbox, move |_| {
-            Platform::new(address, told.clone())
+            Platform::new(address, platform_barrier.clone(), told.clone())
         });
         supervisor.add_task(peers::receive_datagrams(socket, receiver.clone()));
         supervisor.add_task(peers::receive_connections(great, receiver));
-        supervisor.add_task(platform::read_list(settings.platform, decider.clone()));
+        supervisor.add_task(platform::read_list(
+            settings.platform,
+            barrier.clone(),
+            decider.clone(),
+        ));
         supervisor.add_task(decider::keep_time(
             clock.clone(),
             wake_receiver,
@@ -141,6 +153,7 @@
             client,
             call_client: http::client(false),
             clock,
+            barrier: barrier.clone(),
             metrics: metrics.clone(),
         });
         let accepting = watch::Sender::new(true);
@@ -182,6 +195,7 @@
             supervisor,
             servers,
             metrics,
+            barrier,
         })
     }
 
@@ -200,6 +214,16 @@
         &self.metrics
     }
 
+    /// Returns the links that are cut.
+    pub fn barrier(&self) -> &Arc<Barrier> {
+        &self.barrier
+    }
+
+    /// Holds the decisions still, as a paused process would be.
+    pub async fn hold(&self, time: Duration) {
+        let _ = self.decider.send(Hold(time)).detach().await;
+    }
+
     /// Makes the decider fail, to show that it is replaced.
     pub async fn break_decider(&self) {
         let _ = self.decider.send(Break).detach().await;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -27,6 +27,7 @@
 use xtra::Context;
 use xtra::Handler;
 
+use crate::barrier::Barrier;
 use crate::decider::Decider;
 use crate::decider::Take;
 use crate::metrics::Metrics;
@@ -43,6 +44,7 @@
     socket: Arc<UdpSocket>,
     sealer: Sealer,
     clock: Arc<dyn Clock>,
+    barrier: Arc<Barrier>,
     metrics: Arc<Metrics>,
 }
 
@@ -52,12 +54,14 @@
         socket: Arc<UdpSocket>,
         sealer: Sealer,
         clock: Arc<dyn Clock>,
+        barrier: Arc<Barrier>,
         metrics: Arc<Metrics>,
     ) -> Peers {
         Peers {
             socket,
             sealer,
             clock,
+            barrier,
             metrics,
         }
     }
@@ -86,6 +90,9 @@
     async fn handle(&mut self, post: Post, _: &mut Context<Peers>) {
         let bytes = self.sealer.seal(post.to, self.clock.wall(), post.body);
         self.metrics.frame_sent(bytes.len());
+        if self.barrier.cuts(post.address) {
+            return;
+        }
         if bytes.len() <= DATAGRAM_BYTES {
             // A full buffer drops the frame, as the network may.
             let _ = self.socket.try_send_to(&bytes, post.address);
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -1,6 +1,7 @@
 //! The adapter to the key-value service and the list.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use compact_str::CompactString;
@@ -18,6 +19,7 @@
 use xtra::Context;
 use xtra::Handler;
 
+use crate::barrier::Barrier;
 use crate::decider::Decider;
 use crate::decider::Take;
 use crate::http;
@@ -35,15 +37,17 @@
 pub struct Platform {
     address: SocketAddr,
     client: HttpClient,
+    barrier: Arc<Barrier>,
     decider: Address<Decider>,
 }
 
 impl Platform {
     /// Returns an actor that tells the decider what the platform answers.
-    pub fn new(address: SocketAddr, decider: Address<Decider>) -> Platform {
+    pub fn new(address: SocketAddr, barrier: Arc<Barrier>, decider: Address<Decider>) -> Platform {
         Platform {
             address,
             client: http::client(true),
+            barrier,
             decider,
         }
     }
@@ -65,8 +69,13 @@
     async fn handle(&mut self, Make(sent): Make, _: &mut Context<Platform>) {
         let (address, client) = (self.address, self.client.clone());
         let decider = self.decider.clone();
+        let barrier = self.barrier.clone();
         tokio::spawn(async move {
-            let answer = call(&client, address, &sent).await;
+            let answer = if barrier.cuts(address) {
+                Answer::Unreachable
+            } else {
+                call(&client, address, &sent).await
+            };
             let _ = decider
                 .send(Take(Input::Store(sent.id, answer)))
                 .detach()
@@ -120,10 +129,12 @@
 }
 
 /// Reads the list for as long as the instance lives.
-pub async fn read_list(address: SocketAddr, decider: Address<Decider>) {
+pub async fn read_list(address: SocketAddr, barrier: Arc<Barrier>, decider: Address<Decider>) {
     let client = http::client(true);
     loop {
-        if let Some(list) = list(&client, address).await {
+        if !barrier.cuts(address)
+            && let Some(list) = list(&client, address).await
+        {
             let _ = decider.send(Take(Input::List(list))).detach().await;
         }
         tokio::time::sleep(LIST_PERIOD).await;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -38,6 +38,7 @@
 use crate::backend::Line;
 use crate::backend::Lines;
 use crate::backend::PlainAnswer;
+use crate::barrier::Barrier;
 use crate::decider::Decider;
 use crate::decider::Order;
 use crate::decider::Relays;
@@ -88,6 +89,8 @@
     pub call_client: HttpClient,
     /// The clock.
     pub clock: Arc<dyn Clock>,
+    /// Links that are cut.
+    pub barrier: Arc<Barrier>,
     /// Counters.
     pub metrics: Arc<Metrics>,
 }
@@ -178,7 +181,7 @@
                     Some(order) => self.on_order(order).await,
                     None => self.fail(Reason::Lost),
                 },
-                news = next_news(&mut self.attempt, self.shared.clock.clone()) => {
+                news = next_news(&mut self.attempt, self.shared.clone()) => {
                     self.on_news(news).await;
                 }
             }
@@ -514,7 +517,7 @@
 }
 
 /// Waits for what the attempt's link brings, or for its silence.
-async fn next_news(attempt: &mut Option<Attempt>, clock: Arc<dyn Clock>) -> News {
+async fn next_news(attempt: &mut Option<Attempt>, shared: Arc<Shared>) -> News {
     let Some(attempt) = attempt else {
         return std::future::pending().await;
     };
@@ -522,8 +525,13 @@
         Link::Calling(_) => CALL_TIME,
         _ => attempt.pace.limit(),
     };
-    let left = (attempt.heard + limit).saturating_sub(clock.now());
+    let left = (attempt.heard + limit).saturating_sub(shared.clock.now());
+    let cut = shared.barrier.cuts(attempt.address);
     let news = async {
+        if cut {
+            let is_opening = matches!(attempt.link, Link::Opening(_));
+            return silent_link(is_opening).await;
+        }
         match &mut attempt.link {
             Link::Opening(opening) => match opening.await {
                 Ok(lines) => News::Opened(lines),
@@ -546,6 +554,15 @@
     }
 }
 
+/// What a link over a cut connection brings: a new one can't be opened, an open one says nothing.
+async fn silent_link(is_opening: bool) -> News {
+    if is_opening {
+        tokio::time::sleep(RESUME_PAUSE).await;
+        return News::Fault(Fault::Unreachable);
+    }
+    std::future::pending().await
+}
+
 /// Returns whether a route's service fits what a caller asks for.
 pub fn fits(service: Service, payload: &Payload) -> bool {
     matches!(
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -19,3 +19,8 @@
 
 pub mod caller;
 pub mod fleet;
+pub mod judge;
+pub mod plot;
+pub mod result;
+pub mod run;
+pub mod scenario;
--- /dev/null
+++ b/crates/load/src/run.rs
@@ -0,0 +1,833 @@
+//! Load and events on one clock.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use compact_str::CompactString;
+use gateway::http;
+use gateway::http::HttpClient;
+use serde_json::Value;
+use serde_json::json;
+use standin::token::Marker;
+use tokio::sync::Mutex as AsyncMutex;
+use tokio::task::JoinSet;
+use wigeon_core::Policy;
+
+use crate::caller;
+use crate::caller::Ask;
+use crate::caller::End;
+use crate::caller::Seen;
+use crate::fleet;
+use crate::fleet::Backend;
+use crate::fleet::Centre;
+use crate::fleet::Fleet;
+use crate::fleet::Plan;
+use crate::judge;
+use crate::judge::Absence;
+use crate::result;
+use crate::result::Outcome;
+use crate::scenario::Deed;
+use crate::scenario::Event;
+use crate::scenario::Route;
+use crate::scenario::Scenario;
+
+/// Time between two looks of the balancer at an instance's readiness.
+const BALANCER_PERIOD: Duration = Duration::from_millis(150);
+/// Instances that the balancer tries where a connection is refused.
+const BALANCER_TRIES: usize = 3;
+/// Time between two looks at the versions in force.
+const SAMPLE_PERIOD: Duration = Duration::from_millis(50);
+/// Time between the notice of a reclaim and the end of the server.
+const NOTICE: Duration = Duration::from_millis(2_000);
+/// Time until a server that crashed starts anew.
+const RESTART: Duration = Duration::from_millis(1_200);
+/// Outputs drawn to find what engines can carry.
+const DRAWS: usize = 20_000;
+/// Characters of a token.
+const TOKEN_CHARS: f64 = 4.0;
+
+/// What a run led to, with what is needed for a picture.
+pub struct Run {
+    /// Measures and violations.
+    pub outcome: Outcome,
+    /// What each caller saw.
+    pub seen: Vec<Seen>,
+    /// What the stand-ins recorded.
+    pub records: judge::Records,
+    /// Events with their times.
+    pub events: Vec<(Duration, String)>,
+    /// The time at which the load began, by the records' clock.
+    pub began: Duration,
+    /// The same moment.
+    pub began_at: Instant,
+}
+
+/// What the parts of a run share.
+struct Shared {
+    fleet: AsyncMutex<Fleet>,
+    targets: Mutex<Vec<SocketAddr>>,
+    seen: Mutex<Vec<Seen>>,
+    absences: Mutex<Vec<Absence>>,
+    events: Mutex<Vec<(Duration, String)>>,
+    versions: Mutex<(BTreeMap<(usize, u64), u64>, u64)>,
+    client: HttpClient,
+    origin: Instant,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Runs a scenario with one policy.
+///
+/// # Errors
+///
+/// If the fleet can't be started or an event can't be carried out.
+pub async fn run(scenario: &Scenario, seed: u64, policy: Policy) -> anyhow::Result<Run> {
+    let fleet = Fleet::start(&plan(scenario, seed, policy)).await?;
+    let targets = fleet.callers();
+    let shared = Arc::new(Shared {
+        origin: fleet.origin,
+        targets: Mutex::new(targets),
+        fleet: AsyncMutex::new(fleet),
+        seen: Mutex::default(),
+        absences: Mutex::default(),
+        events: Mutex::default(),
+        versions: Mutex::default(),
+        client: http::client(true),
+    });
+    let began_at = Instant::now();
+    let began = shared.origin.elapsed();
+    let before = traffic(&shared).await;
+    let mut background = JoinSet::new();
+    let addresses = lock(&shared.targets).clone();
+    background.spawn(balance(shared.clone(), addresses));
+    background.spawn(sample(shared.clone()));
+    let mut deeds = JoinSet::new();
+    for event in scenario.events.clone() {
+        let shared = shared.clone();
+        let scenario = scenario.clone();
+        deeds.spawn(async move {
+            let at = began_at + Duration::from_secs_f64(event.at_s);
+            tokio::time::sleep_until(at.into()).await;
+            carry_out(&shared, &scenario, &event, seed).await
+        });
+    }
+    let mut calls = JoinSet::new();
+    send_load(&shared, scenario, seed, began_at, &mut calls).await;
+    let drain = Duration::from_secs_f64(scenario.drain_s);
+    let drained = async { while calls.join_next().await.is_some() {} };
+    let all_ended = tokio::time::timeout(drain, drained).await.is_ok();
+    let unended = if all_ended { 0 } else { calls.len() };
+    calls.shutdown().await;
+    while let Some(done) = deeds.join_next().await {
+        done??;
+    }
+    background.shutdown().await;
+    let after = traffic(&shared).await;
+    let time = began_at.elapsed().as_secs_f64();
+    let fleet = shared.fleet.lock().await;
+    let records = judge::records(&fleet);
+    drop(fleet);
+    let seen = std::mem::take(&mut *lock(&shared.seen));
+    let absences = lock(&shared.absences).clone();
+    let graceful = scenario
+        .events
+        .iter()
+        .all(|event| event.deed == Deed::RollingRestart)
+        && !scenario.events.is_empty();
+    let reverted = lock(&shared.versions).1;
+    let violations = judge::judge(&seen, &records, &absences, graceful, reverted);
+    let mut all = result::measure(seen.iter());
+    all.requests += unended as u64;
+    all.failed += unended as u64;
+    if unended > 0 {
+        all.reasons.insert("not ended".into(), unended as u64);
+    }
+    let per_s = |count: u64| (count as f64 / time * 10.0).round() / 10.0;
+    let instances = after.instances.max(1) as f64;
+    let outcome = Outcome {
+        scenario: scenario.name.clone(),
+        seed,
+        policy: policy.to_string(),
+        violations,
+        preemptions: records.preemptions,
+        attempts_a_request: after.attempts.saturating_sub(before.attempts) as f64
+            / all.requests.max(1) as f64,
+        least_answered_share: result::least_answered_share(&seen),
+        store_calls_s: (
+            per_s(after.reads - before.reads),
+            per_s(after.writes - before.writes),
+        ),
+        frame_bytes_s: per_s(after.bytes.saturating_sub(before.bytes)) / instances,
+        phases: phases(&seen, &absences, shared.origin),
+        all,
+    };
+    let events = lock(&shared.events).clone();
+    if let Ok(shared) = Arc::try_unwrap(shared) {
+        shared.fleet.into_inner().stop().await;
+    }
+    Ok(Run {
+        outcome,
+        seen,
+        records,
+        events,
+        began,
+        began_at,
+    })
+}
+
+/// Counters that a run starts and ends with.
+struct Traffic {
+    reads: u64,
+    writes: u64,
+    bytes: u64,
+    attempts: u64,
+    instances: usize,
+}
+
+async fn traffic(shared: &Shared) -> Traffic {
+    let fleet = shared.fleet.lock().await;
+    let counts = fleet.platform.with(|platform| platform.counts);
+    let nodes: Vec<_> = fleet
+        .nodes
+        .iter()
+        .filter_map(|(_, node)| node.as_ref())
+        .collect();
+    Traffic {
+        reads: counts.reads,
+        writes: counts.writes,
+        bytes: nodes.iter().map(|node| node.metrics().bytes_sent()).sum(),
+        attempts: nodes.iter().map(|node| node.metrics().attempts()).sum(),
+        instances: nodes.len(),
+    }
+}
+
+fn plan(scenario: &Scenario, seed: u64, policy: Policy) -> Plan {
+    let centres = scenario.data_centres.iter().map(|centre| Centre {
+        name: centre.name.clone(),
+        instances: centre.instances,
+        engines: centre.engines,
+        plains: centre.plains,
+    });
+    Plan {
+        centres: centres.collect(),
+        engine: scenario.engine.to_standin(),
+        plain: standin::plain::Settings::default(),
+        policy,
+        warm: scenario.warm,
+        shutdown_delay: Duration::from_millis(400),
+        config: configuration(scenario),
+        seed,
+    }
+}
+
+fn token_of(organisation: &str) -> CompactString {
+    CompactString::from(format!("token-of-{organisation}"))
+}
+
+fn configuration(scenario: &Scenario) -> Vec<String> {
+    let mut lines = Vec::new();
+    for centre in &scenario.data_centres {
+        lines.push(format!("put data-centre {} {{}}", centre.name));
+    }
+    for name in scenario.organisations.keys() {
+        let hash = conf::hash_token(&token_of(name));
+        lines.push(format!(
+            r#"put organisation {name} {{"token_hash": "{hash}"}}"#
+        ));
+    }
+    let pool = Value::Object(scenario.pool.clone());
+    lines.push(format!("put pool engines {pool}"));
+    lines.push(r#"put pool plains {"service": "plain", "cold_limit": 2, "batch": 16}"#.into());
+    for route in &scenario.routes {
+        let mut settings = scenario_route(route);
+        settings.insert("pool".into(), "engines".into());
+        lines.push(format!(
+            "put route {} {}",
+            route.name,
+            Value::Object(settings)
+        ));
+    }
+    let status = json!({"pool": "plains", "class": "interactive", "deadline_ms": 3_000});
+    lines.push(format!("put route status {status}"));
+    let mark = json!({
+        "pool": "plains", "class": "interactive", "idempotent": false, "rerun": false,
+        "deadline_ms": 3_000, "retention_s": 3_600,
+    });
+    lines.push(format!("put route mark {mark}"));
+    lines
+}
+
+fn scenario_route(route: &Route) -> serde_json::Map<String, Value> {
+    route.settings.clone()
+}
+
+/// Draws an output's length.
+fn draw_length(route: &Route, factor: f64, rng: &mut fastrand::Rng) -> u32 {
+    // Two uniform numbers make a normal one (Box and Muller, 1958).
+    let radius = (-2.0 * rng.f64().max(f64::MIN_POSITIVE).ln()).sqrt();
+    let normal = radius * (std::f64::consts::TAU * rng.f64()).cos();
+    let length = route.median * factor * (route.spread * normal).exp();
+    (length as u32).clamp(1, route.max)
+}
+
+fn draw_route<'a>(scenario: &'a Scenario, rng: &mut fastrand::Rng) -> &'a Route {
+    let total: f64 = scenario.routes.iter().map(|route| route.share).sum();
+    let mut left = rng.f64() * total;
+    for route in &scenario.routes {
+        left -= route.share;
+        if left <= 0.0 {
+            return route;
+        }
+    }
+    &scenario.routes[0]
+}
+
+fn draw_organisation(scenario: &Scenario, rng: &mut fastrand::Rng) -> CompactString {
+    let total: f64 = scenario.organisations.values().sum();
+    let mut left = rng.f64() * total;
+    for (name, share) in &scenario.organisations {
+        left -= share;
+        if left <= 0.0 {
+            return name.clone();
+        }
+    }
+    CompactString::default()
+}
+
+/// Returns the requests a second that the engines can carry: as many generations at once as memory
+/// and the configured batch allow, at the pace that such a batch has.
+fn carried_rate(scenario: &Scenario) -> f64 {
+    let mut rng = fastrand::Rng::with_seed(7);
+    let (mut sum, mut squares, mut prompts) = (0.0, 0.0, 0.0);
+    for _ in 0..DRAWS {
+        let route = draw_route(scenario, &mut rng);
+        let length = f64::from(draw_length(route, 1.0, &mut rng));
+        sum += length;
+        squares += length * length;
+        prompts += route.prompt_chars as f64 / TOKEN_CHARS;
+    }
+    let mean = sum / DRAWS as f64;
+    let prompt = prompts / DRAWS as f64;
+    // A generation met at a random moment is half way through a length that was chosen by size.
+    let held = prompt + squares / sum / 2.0;
+    let engine = scenario.engine;
+    let by_memory = engine.capacity as f64 * 0.9 / held;
+    let batch = scenario
+        .pool
+        .get("batch")
+        .and_then(Value::as_f64)
+        .unwrap_or(16.0);
+    let at_once = by_memory.min(batch);
+    let step = (engine.step_ms + engine.step_each_ms * at_once) / 1_000.0;
+    let prefill = prompt / standin::engine::Settings::default().prefill_rate;
+    let a_request = mean * step / at_once + prefill;
+    let engines: usize = scenario
+        .data_centres
+        .iter()
+        .map(|centre| centre.engines)
+        .sum();
+    engines as f64 / a_request
+}
+
+/// Sends the load and returns when its time is over.
+async fn send_load(
+    shared: &Arc<Shared>,
+    scenario: &Scenario,
+    seed: u64,
+    began: Instant,
+    calls: &mut JoinSet<()>,
+) {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let engine_rate = carried_rate(scenario) * scenario.load;
+    let rate = engine_rate + scenario.plain_rate;
+    let mut at = 0.0;
+    let mut number = 1;
+    while at < scenario.duration_s {
+        at += -rng.f64().max(f64::MIN_POSITIVE).ln() / rate;
+        tokio::time::sleep_until((began + Duration::from_secs_f64(at)).into()).await;
+        number += 1;
+        let plain = rng.f64() * rate < scenario.plain_rate;
+        let ask = if plain {
+            plain_ask(scenario, number, &mut rng)
+        } else {
+            engine_ask(scenario, number, at, &mut rng)
+        };
+        let twice = ask.key.is_some() && rng.f64() < scenario.duplicates;
+        let order = rng.u64(..);
+        calls.spawn(serve_caller(shared.clone(), ask.clone(), order));
+        if twice {
+            calls.spawn(serve_caller(shared.clone(), ask, order.rotate_left(9)));
+        }
+    }
+}
+
+fn engine_ask(scenario: &Scenario, number: u64, at: f64, rng: &mut fastrand::Rng) -> Ask {
+    let route = draw_route(scenario, rng);
+    let shift = scenario.shift.filter(|shift| at >= shift.at_s);
+    let factor = shift.map_or(1.0, |shift| shift.factor);
+    let organisation = draw_organisation(scenario, rng);
+    let delivery = route.settings.get("delivery").and_then(Value::as_str);
+    let streams = delivery != Some("whole");
+    // Requests of one organisation share the start of their prompt.
+    let filler = format!("{organisation:<width$}", width = route.prompt_chars);
+    Ask {
+        marker: Marker {
+            request: number,
+            length: draw_length(route, factor, rng),
+            sampled: route.sampled,
+            poison: false,
+        },
+        route: route.name.clone(),
+        token: token_of(&organisation),
+        organisation,
+        plain: false,
+        stream: streams,
+        key: None,
+        filler,
+    }
+}
+
+fn plain_ask(scenario: &Scenario, number: u64, rng: &mut fastrand::Rng) -> Ask {
+    let mark = rng.f64() < scenario.marks;
+    let organisation = draw_organisation(scenario, rng);
+    Ask {
+        marker: Marker {
+            request: number,
+            length: 1,
+            ..Marker::default()
+        },
+        route: if mark { "mark" } else { "status" }.into(),
+        token: token_of(&organisation),
+        organisation,
+        plain: true,
+        stream: false,
+        key: mark.then(|| format!("key-{number}")),
+        filler: String::new(),
+    }
+}
+
+/// One caller behind the balancer: tries another instance where a connection is refused, and sends a
+/// keyed request again whose answer was lost.
+async fn serve_caller(shared: Arc<Shared>, ask: Ask, order: u64) {
+    let mut sends = 0;
+    loop {
+        let seen = send_once(&shared, &ask, order.wrapping_add(sends)).await;
+        let lost = matches!(seen.end, End::Cut | End::Failed);
+        let again = (lost && ask.key.is_some() && sends < 2) || (ask.marker.poison && sends < 3);
+        lock(&shared.seen).push(seen);
+        if !again {
+            return;
+        }
+        sends += 1;
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+}
+
+async fn send_once(shared: &Shared, ask: &Ask, order: u64) -> Seen {
+    let mut tries = 0;
+    loop {
+        let address = pick(shared, order.wrapping_add(tries as u64));
+        let seen = caller::call(&shared.client, address, ask.clone()).await;
+        let unreached = seen.end == End::Refused && seen.reason.contains("connect");
+        tries += 1;
+        if !unreached || tries >= BALANCER_TRIES {
+            return seen;
+        }
+    }
+}
+
+fn pick(shared: &Shared, order: u64) -> SocketAddr {
+    let targets = lock(&shared.targets);
+    let index = usize::try_from(order % targets.len().max(1) as u64).unwrap_or(0);
+    targets[index]
+}
+
+/// The balancer: sends callers to the instances that say that they are ready.
+async fn balance(shared: Arc<Shared>, addresses: Vec<SocketAddr>) {
+    loop {
+        let ready = ready_ones(&shared.client, addresses.clone()).await;
+        if !ready.is_empty() {
+            *lock(&shared.targets) = ready;
+        }
+        tokio::time::sleep(BALANCER_PERIOD).await;
+    }
+}
+
+async fn ready_ones(client: &HttpClient, addresses: Vec<SocketAddr>) -> Vec<SocketAddr> {
+    let mut asking = JoinSet::new();
+    for address in addresses {
+        let request = http::request("GET", address, "/readyz", "");
+        let response = client.request(request);
+        asking.spawn(async move {
+            let limit = Duration::from_millis(500);
+            let answer = tokio::time::timeout(limit, response).await;
+            let ready = matches!(answer, Ok(Ok(response)) if response.status().is_success());
+            (address, ready)
+        });
+    }
+    let mut answers = asking.join_all().await;
+    answers.sort();
+    answers
+        .into_iter()
+        .filter(|(_, ready)| *ready)
+        .map(|(address, _)| address)
+        .collect()
+}
+
+/// Looks at the versions in force and notes any that goes back.
+async fn sample(shared: Arc<Shared>) {
+    loop {
+        if let Ok(fleet) = shared.fleet.try_lock() {
+            let mut versions = lock(&shared.versions);
+            for (index, (_, node)) in fleet.nodes.iter().enumerate() {
+                let Some(node) = node else { continue };
+                let version = node.config().version;
+                let last = versions.0.entry((index, node.entry.id)).or_default();
+                let back = version < *last;
+                *last = version;
+                versions.1 += u64::from(back);
+            }
+        }
+        tokio::time::sleep(SAMPLE_PERIOD).await;
+    }
+}
+
+fn note(shared: &Shared, text: String) {
+    lock(&shared.events).push((shared.origin.elapsed(), text));
+}
+
+async fn carry_out(
+    shared: &Arc<Shared>,
+    scenario: &Scenario,
+    event: &Event,
+    seed: u64,
+) -> anyhow::Result<()> {
+    let target = event.target.as_str();
+    let time = Duration::from_secs_f64(event.for_s);
+    match event.deed {
+        Deed::TakeOut => {
+            let line = format!("take out data-centre {target}");
+            command(shared, 0, &line).await?;
+            note(shared, format!("{target} out"));
+            lock(&shared.absences).push(Absence {
+                centre: target.into(),
+                from: shared.origin.elapsed(),
+                until: None,
+            });
+        }
+        Deed::BringBack => {
+            let now = shared.origin.elapsed();
+            for absence in lock(&shared.absences).iter_mut() {
+                if absence.centre == target {
+                    absence.until.get_or_insert(now);
+                }
+            }
+            note(shared, format!("{target} back"));
+            let line = format!("bring back data-centre {target}");
+            command(shared, 0, &line).await?;
+        }
+        Deed::Crash => {
+            note(shared, format!("{target} crashes"));
+            crash(shared, target).await?;
+        }
+        Deed::Reclaim => reclaim(shared, target).await?,
+        Deed::Silence => {
+            note(shared, format!("{target} silent"));
+            silence(shared, target, time).await;
+        }
+        Deed::Chill => {
+            note(shared, format!("{target} cold"));
+            chill(shared, target).await;
+        }
+        Deed::Partition => {
+            note(shared, format!("{target} cut off"));
+            partition(shared, target).await;
+            tokio::time::sleep(time).await;
+            heal(shared).await;
+            note(shared, format!("{target} joined"));
+        }
+        Deed::StoreDown | Deed::StoreLossy | Deed::StoreSlow => {
+            note(shared, format!("{:?}", event.deed));
+            set_faults(shared, event.deed).await;
+            tokio::time::sleep(time).await;
+            let fleet = shared.fleet.lock().await;
+            fleet
+                .platform
+                .with(|platform| platform.faults = standin::platform::Faults::default());
+            note(shared, "store well".into());
+        }
+        Deed::Pause => {
+            note(shared, "an instance stands still".into());
+            let fleet = shared.fleet.lock().await;
+            let index = holder_index(&fleet, target);
+            if let Some(node) = &fleet.nodes[index].1 {
+                node.hold(time).await;
+            }
+        }
+        Deed::Race => race(shared, scenario, time).await,
+        Deed::Poison => {
+            note(shared, "poison".into());
+            let mut ask = engine_ask(scenario, 1, 0.0, &mut fastrand::Rng::with_seed(seed));
+            ask.marker.poison = true;
+            ask.marker.length = 50;
+            serve_caller(shared.clone(), ask, seed).await;
+        }
+        Deed::RollingRestart => rolling_restart(shared).await?,
+        Deed::Kill => {
+            note(shared, "an instance is killed".into());
+            let mut fleet = shared.fleet.lock().await;
+            let index = holder_index(&fleet, target);
+            fleet.replace_node(index, false).await?;
+            fleet.publish_list();
+        }
+        Deed::NewModel => {
+            note(shared, "new model".into());
+            command(shared, 0, "set pool engines model model-2").await?;
+        }
+    }
+    Ok(())
+}
+
+fn holder_index(fleet: &Fleet, target: &str) -> usize {
+    let found = fleet
+        .nodes
+        .iter()
+        .position(|(settings, _)| settings.name == target);
+    found.unwrap_or(fleet.nodes.len() - 1)
+}
+
+/// Sends a command without holding the fleet, since an answer may take its time.
+async fn command(shared: &Shared, node: usize, line: &str) -> anyhow::Result<Value> {
+    let address = shared.fleet.lock().await.nodes[node].0.operators;
+    fleet::send_command(&shared.client, address, vec![line.to_string()]).await
+}
+
+async fn crash(shared: &Arc<Shared>, target: &str) -> anyhow::Result<()> {
+    let fleet = shared.fleet.lock().await;
+    match fleet.server(target).map(|server| &server.backend) {
+        Some(Backend::Engine(engine)) => {
+            let engine = engine.clone();
+            drop(fleet);
+            engine.crash().await;
+            tokio::time::sleep(RESTART).await;
+            engine.restart().await?;
+        }
+        Some(Backend::Plain(plain)) => {
+            let plain = plain.clone();
+            drop(fleet);
+            plain.crash().await;
+            tokio::time::sleep(RESTART).await;
+            plain.restart().await?;
+        }
+        None => {}
+    }
+    Ok(())
+}
+
+async fn reclaim(shared: &Arc<Shared>, target: &str) -> anyhow::Result<()> {
+    note(shared, format!("{target} reclaimed"));
+    let mark = |leaving: bool| {
+        move |entry: &mut standin::platform::Entry| {
+            if entry.name == target {
+                entry.leaving = leaving;
+                entry.reclaimed = leaving;
+            }
+        }
+    };
+    {
+        let fleet = shared.fleet.lock().await;
+        fleet.change_list(mark(true));
+        if let Some(Backend::Engine(engine)) = fleet.server(target).map(|s| &s.backend) {
+            engine.with(standin::engine::Engine::leave);
+        }
+    }
+    tokio::time::sleep(NOTICE).await;
+    crash(shared, target).await?;
+    shared.fleet.lock().await.change_list(mark(false));
+    Ok(())
+}
+
+async fn silence(shared: &Arc<Shared>, target: &str, time: Duration) {
+    let fleet = shared.fleet.lock().await;
+    match fleet.server(target).map(|server| &server.backend) {
+        Some(Backend::Engine(engine)) => engine.silence(),
+        Some(Backend::Plain(plain)) => {
+            let plain = plain.clone();
+            drop(fleet);
+            plain.set_silent(true);
+            tokio::time::sleep(time).await;
+            plain.set_silent(false);
+        }
+        None => {}
+    }
+}
+
+async fn chill(shared: &Shared, target: &str) {
+    let now = shared.origin.elapsed();
+    let fleet = shared.fleet.lock().await;
+    match fleet.server(target).map(|server| &server.backend) {
+        Some(Backend::Engine(engine)) => engine.with(|engine| engine.chill(now)),
+        Some(Backend::Plain(plain)) => plain.with(|plain| plain.chill(now)),
+        None => {}
+    }
+}
+
+/// Cuts a data centre's instances off from the others, from their servers and from the platform.
+async fn partition(shared: &Shared, centre: &str) {
+    let fleet = shared.fleet.lock().await;
+    let mut inside = BTreeSet::new();
+    let mut outside = BTreeSet::from([fleet.platform.address()]);
+    for server in &fleet.servers {
+        let address = match &server.backend {
+            Backend::Engine(engine) => engine.address(),
+            Backend::Plain(plain) => plain.address(),
+        };
+        let side = if server.data_centre == centre {
+            &mut inside
+        } else {
+            &mut outside
+        };
+        side.insert(address);
+    }
+    for (settings, _) in &fleet.nodes {
+        let side = if settings.data_centre == centre {
+            &mut inside
+        } else {
+            &mut outside
+        };
+        side.insert(settings.peers);
+        side.insert(settings.callers);
+    }
+    for (settings, node) in &fleet.nodes {
+        let Some(node) = node else { continue };
+        let cut = if settings.data_centre == centre {
+            &outside
+        } else {
+            &inside
+        };
+        node.barrier().set(cut.clone());
+    }
+}
+
+async fn heal(shared: &Shared) {
+    let fleet = shared.fleet.lock().await;
+    for (_, node) in &fleet.nodes {
+        if let Some(node) = node {
+            node.barrier().set(BTreeSet::new());
+        }
+    }
+}
+
+async fn set_faults(shared: &Shared, deed: Deed) {
+    let faults = standin::platform::Faults {
+        down: deed == Deed::StoreDown,
+        slow: Duration::from_millis(if deed == Deed::StoreSlow { 400 } else { 0 }),
+        lost_answers: if deed == Deed::StoreLossy { 0.3 } else { 0.0 },
+    };
+    let fleet = shared.fleet.lock().await;
+    fleet.platform.with(|platform| platform.faults = faults);
+}
+
+/// Two operators give conflicting commands at once, again and again.
+async fn race(shared: &Arc<Shared>, scenario: &Scenario, time: Duration) {
+    note(shared, "operators race".into());
+    let until = Instant::now() + time;
+    let mut round = 0;
+    while Instant::now() < until {
+        let limit = 1_000 + round;
+        let centre = &scenario.data_centres[round % scenario.data_centres.len()].name;
+        let lines = [
+            format!("set route status deadline_ms {limit}"),
+            format!("take out data-centre {centre}"),
+            format!("bring back data-centre {centre}"),
+        ];
+        let sent = lines
+            .iter()
+            .enumerate()
+            .map(|(index, line)| command(shared, index % 3, line));
+        // Some of them are refused, which is their right.
+        let _ = futures_join(sent.collect()).await;
+        round += 1;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    for centre in &scenario.data_centres {
+        let _ = command(
+            shared,
+            0,
+            &format!("bring back data-centre {}", centre.name),
+        )
+        .await;
+    }
+}
+
+/// Waits for all of a few futures at once.
+async fn futures_join<T>(futures: Vec<impl Future<Output = T>>) -> Vec<T> {
+    let mut pinned: Vec<_> = futures.into_iter().map(Box::pin).collect();
+    let mut results: Vec<Option<T>> = pinned.iter().map(|_| None).collect();
+    std::future::poll_fn(|context| {
+        for (future, result) in pinned.iter_mut().zip(&mut results) {
+            if result.is_none()
+                && let std::task::Poll::Ready(value) = future.as_mut().poll(context)
+            {
+                *result = Some(value);
+            }
+        }
+        if results.iter().all(Option::is_some) {
+            std::task::Poll::Ready(())
+        } else {
+            std::task::Poll::Pending
+        }
+    })
+    .await;
+    results.into_iter().flatten().collect()
+}
+
+async fn rolling_restart(shared: &Arc<Shared>) -> anyhow::Result<()> {
+    let count = shared.fleet.lock().await.nodes.len();
+    for index in 0..count {
+        note(shared, format!("instance {index} is replaced"));
+        let mut fleet = shared.fleet.lock().await;
+        let name = fleet.nodes[index].0.name.clone();
+        fleet.change_list(|entry| entry.leaving |= entry.name == name);
+        fleet.replace_node(index, true).await?;
+        fleet.change_list(|entry| entry.leaving &= entry.name != name);
+        drop(fleet);
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+    Ok(())
+}
+
+fn phases(
+    seen: &[Seen],
+    absences: &[Absence],
+    origin: Instant,
+) -> BTreeMap<&'static str, result::Measures> {
+    let Some(absence) = absences.first() else {
+        return BTreeMap::new();
+    };
+    let phase = |one: &Seen| {
+        let at = one.sent.duration_since(origin);
+        match absence.until {
+            _ if at < absence.from => "before",
+            Some(until) if at >= until => "after",
+            _ => "during",
+        }
+    };
+    ["before", "during", "after"]
+        .into_iter()
+        .map(|name| {
+            (
+                name,
+                result::measure(seen.iter().filter(|one| phase(one) == name)),
+            )
+        })
+        .collect()
+}
