Notice a pause before anything is decided, and drop old reports

Cause: an instance that woke decided on what it had believed before it slept, and took a server's answer to a probe of long ago for a fresh one; a holder that was thought dead lost its places while it went on asking. The stand-in's report showed a state of seconds ago to whoever asked first, and the check of crashing requests counted a server that had not crashed yet; both were wrong.

--- a/crates/admit/src/cell.rs
+++ b/crates/admit/src/cell.rs
@@ -35,7 +35,8 @@
 const UNSURE_TIME: Duration = Duration::from_millis(350);
 /// Time after which a queued ask is forgotten unless it is repeated.
 pub const ASK_SILENCE: Duration = Duration::from_millis(2_500);
-/// Time for which the work of a holder that died counts as running.
+/// Time for which the work of a holder that died counts as running. One that is heard of after its
+/// death was only cut off.
 const ORPHAN_TIME: Duration = Duration::from_secs(5);
 /// Time after which an attempt that no report names any more is forgotten. Holders report in full
 /// more than twice in that time.
@@ -709,7 +710,7 @@
             let unheard = now.saturating_sub(placed.heard) >= UNHEARD_TIME;
             let orphaned = gone
                 .get(&placed.holder)
-                .is_some_and(|at| now.saturating_sub(*at) >= ORPHAN_TIME);
+                .is_some_and(|at| placed.heard <= *at && now.saturating_sub(*at) >= ORPHAN_TIME);
             !unused && !orphaned && !unheard
         });
         self.decay_rate(now);
--- a/crates/core/src/baseline.rs
+++ b/crates/core/src/baseline.rs
@@ -84,6 +84,7 @@
             self.out.push(Output::Probe {
                 server: server.name,
                 address: server.address,
+                asked: self.now,
             });
         }
         false
--- a/crates/core/src/home.rs
+++ b/crates/core/src/home.rs
@@ -31,6 +31,8 @@
 
 /// Time between two probes of a server by its home.
 const PROBE_PERIOD: Duration = Duration::from_millis(250);
+/// Age at which a server's report is of no use.
+const REPORT_AGE: Duration = Duration::from_millis(1_000);
 /// Time that changes wait to be reported together.
 const REPORT_DELAY: Duration = Duration::from_millis(30);
 /// Time between two full reports.
@@ -365,7 +367,15 @@
     }
 
     /// Takes a server's answer to a probe.
-    pub(crate) fn on_report(&mut self, server: &Name, report: Option<ServerReport>) {
+    pub(crate) fn on_report(
+        &mut self,
+        server: &Name,
+        asked: Time,
+        report: Option<ServerReport>,
+    ) {
+        if self.now.saturating_sub(asked) > REPORT_AGE {
+            return;
+        }
         let Some(report) = report else {
             for cell in self.home.cells.values_mut() {
                 cell.unreachable(self.now, server);
@@ -459,7 +469,12 @@
             }
         }
         for (server, address) in probed {
-            self.out.push(Output::Probe { server, address });
+            let asked = self.now;
+            self.out.push(Output::Probe {
+                server,
+                address,
+                asked,
+            });
         }
     }
 
--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -154,12 +154,15 @@
     pub fn handle(&mut self, now: Time, wall: Wall, input: Input) -> Vec<Output> {
         self.now = self.now.max(now);
         self.wall = wall;
+        // First of all, so that a pause is noticed before anything is decided on what was believed
+        // before it.
+        self.tick_members();
         match input {
             Input::Request(request) => self.on_request(request),
             Input::Gone(request) => self.on_gone(request),
             Input::Frame(frame) => self.on_frame(frame),
             Input::Attempt(attempt, event) => self.on_event(attempt, event),
-            Input::Report(server, report) => self.on_report(&server, report),
+            Input::Report(server, asked, report) => self.on_report(&server, asked, report),
             Input::Store(id, answer) => self.on_store(id, answer),
             Input::List(listed) => self.on_list(listed),
             Input::Command(command) => self.on_command(command),
@@ -327,7 +330,6 @@
 
     /// Does everything that is due.
     fn pass_time(&mut self) {
-        self.tick_members();
         self.tick_jobs();
         self.tick_home();
         self.tick_endings();
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use clock::Time;
 use conf::Config;
 use wire::AttemptId;
 use wire::BootId;
@@ -167,8 +168,9 @@
     Frame(Frame),
     /// An attempt proceeds.
     Attempt(AttemptId, Event),
-    /// A backend server has answered a probe, or has not.
-    Report(Name, Option<ServerReport>),
+    /// A backend server has answered a probe, or has not. The time is that of the probe: after a pause
+    /// of this process an answer may be old.
+    Report(Name, Time, Option<ServerReport>),
     /// The store has answered a call.
     Store(u64, store::Answer),
     /// The platform's list has come.
@@ -219,6 +221,8 @@
         server: Name,
         /// Its address.
         address: SocketAddr,
+        /// The time, to be given back with the report.
+        asked: Time,
     },
     /// Send an order to an engine, if it may still go.
     Order {
--- a/crates/core/src/serve.rs
+++ b/crates/core/src/serve.rs
@@ -134,6 +134,7 @@
             Phase::Joining { .. } => Reason::KeyInUse,
             Phase::Seeking(seeking) => match seeking.denial {
                 Some(wire::admission::Denial::Limited) => Reason::Limited,
+                _ if seeking.main.as_ref().is_some_and(|main| main.queued) => Reason::Overloaded,
                 Some(wire::admission::Denial::NoServer) | None => Reason::NoServer,
                 Some(_) => Reason::Overloaded,
             },
--- a/crates/gateway/src/decider.rs
+++ b/crates/gateway/src/decider.rs
@@ -196,14 +196,18 @@
                 links.metrics.store_call();
                 let _ = links.platform.send(Make(sent)).detach().await;
             }
-            Output::Probe { server, address } => {
+            Output::Probe {
+                server,
+                address,
+                asked,
+            } => {
                 tokio::spawn(async move {
                     let report = if links.barrier.cuts(address) {
                         None
                     } else {
                         backend::report(links.client.clone(), address).await
                     };
-                    let input = Input::Report(server, report);
+                    let input = Input::Report(server, asked, report);
                     let _ = links.own.send(Take(input)).detach().await;
                 });
             }
--- a/crates/soak/src/verdict.rs
+++ b/crates/soak/src/verdict.rs
@@ -11,6 +11,7 @@
 
 use crate::Outcome;
 use crate::world::Backend;
+use crate::world::Server;
 use crate::world::World;
 
 /// Time after which a data centre that was taken out gets no new work.
@@ -70,6 +71,19 @@
     }
 }
 
+/// Returns how many servers a request has crashed. Two sendings of it may have shared one, and one
+/// that runs at this moment has crashed nothing yet.
+fn crashed_by(world: &World, number: u64) -> usize {
+    let crashed = |server: &&Server| match &server.backend {
+        Backend::Engine(engine) => {
+            let begun = engine.record.starts.iter().any(|start| start.1 == number);
+            begun && !engine.requests().contains(&number)
+        }
+        Backend::Plain(_) => false,
+    };
+    world.servers.values().filter(crashed).count()
+}
+
 fn starts_of(world: &World, number: u64) -> usize {
     world
         .servers
@@ -136,7 +150,7 @@
 /// could not hear of it.
 pub fn check_poison(world: &mut World, marker: &token::Marker) {
     let heard = world.cuts.is_empty() && world.now > world.mended_at + WITHDRAWAL;
-    if marker.poison && heard && starts_of(world, marker.request) >= 2 {
+    if marker.poison && heard && crashed_by(world, marker.request) >= 2 {
         let number = marker.request;
         world
             .broken
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -479,9 +479,9 @@
                     },
                 );
             }
-            Output::Probe { server, .. } => {
+            Output::Probe { server, asked, .. } => {
                 let report = self.report(index, &server);
-                self.input(index, Input::Report(server, report));
+                self.input(index, Input::Report(server, asked, report));
             }
             Output::Order { order, .. } => {
                 if let Some(Server {
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -241,8 +241,10 @@
     /// Makes it cold again without a restart. Nobody can know at once, so more than it bears is
     /// recorded only after a time in which its own reports show it.
     pub fn chill(&mut self, now: Duration) {
+        self.note_state(now);
         self.served = 0;
         self.noticed_at = now + CHILL_NOTICE;
+        self.note_state(now);
     }
 
     /// Says that it is about to go.
@@ -317,6 +319,7 @@
             self.record.over_cold += 1;
         }
         self.next_step.get_or_insert(now);
+        self.note_state(now);
         Ok(id)
     }
 
@@ -374,6 +377,7 @@
             return Vec::new();
         }
         self.forget(now);
+        self.note_state(now);
         let prefilled = self.admit();
         if self
             .batch
@@ -394,12 +398,17 @@
         if !self.up {
             return None;
         }
+        self.note_state(now);
+        self.reports.front().map(|(_, load)| load.clone())
+    }
+
+    /// Notes the state for reports, which show it after their lag.
+    fn note_state(&mut self, now: Duration) {
         self.reports.push_back((now, self.present_load()));
         let due = |at: Duration| at + self.settings.lag <= now;
         while self.reports.len() > 1 && due(self.reports[1].0) {
             self.reports.pop_front();
         }
-        self.reports.front().map(|(_, load)| load.clone())
     }
 
     /// Returns the number of the first of the newest cache events, and the events: stored or not, and
