--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -180,8 +180,8 @@
             }
             Answer::Nothing => {}
             _ => {
-                self.config.next_read =
-                    self.now + FAILED_PAUSE + FAILED_PAUSE.mul_f64(self.rng.f64())
+                let jitter = FAILED_PAUSE.mul_f64(self.rng.f64());
+                self.config.next_read = self.now + FAILED_PAUSE + jitter;
             }
         }
     }
--- a/crates/core/src/home.rs
+++ b/crates/core/src/home.rs
@@ -367,12 +367,7 @@
     }
 
     /// Takes a server's answer to a probe.
-    pub(crate) fn on_report(
-        &mut self,
-        server: &Name,
-        asked: Time,
-        report: Option<ServerReport>,
-    ) {
+    pub(crate) fn on_report(&mut self, server: &Name, asked: Time, report: Option<ServerReport>) {
         if self.now.saturating_sub(asked) > REPORT_AGE {
             return;
         }
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -172,7 +172,9 @@
 }
 
 /// Returns the idempotency key of a request.
-fn idempotency_key(request: &hyper::Request<Incoming>) -> Result<Option<String>, Response<Body>> {
+fn idempotency_key(
+    request: &hyper::Request<Incoming>,
+) -> Result<Option<String>, Box<Response<Body>>> {
     let Some(value) = request.headers().get("idempotency-key") else {
         return Ok(None);
     };
@@ -180,7 +182,8 @@
         Ok(text) if !text.is_empty() && text.len() <= KEY_BYTES => Ok(Some(text.to_string())),
         _ => {
             let text = format!("Idempotency-Key has 1 to {KEY_BYTES} visible characters");
-            Err(problem(StatusCode::BAD_REQUEST, "idempotency-key", &text))
+            let response = problem(StatusCode::BAD_REQUEST, "idempotency-key", &text);
+            Err(Box::new(response))
         }
     }
 }
@@ -196,7 +199,7 @@
     };
     let key = match idempotency_key(&request) {
         Ok(key) => key,
-        Err(response) => return response,
+        Err(response) => return *response,
     };
     let body = match http::read_body(request.into_body()).await {
         Ok(body) => body,
@@ -367,7 +370,7 @@
     };
     let key = match idempotency_key(&request) {
         Ok(key) => key,
-        Err(response) => return response,
+        Err(response) => return *response,
     };
     let after = request.uri().path().trim_start_matches("/v1/call/");
     let (name, rest) = after.split_once('/').unwrap_or((after, ""));
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -372,7 +372,7 @@
 
     /// Returns the answer as it is recorded with an idempotency key.
     fn recorded(&self) -> wire::ledger::Answer {
-        let size: usize = self.stream.tokens().iter().map(|token| token.len()).sum();
+        let size: usize = self.stream.tokens().iter().map(CompactString::len).sum();
         let body = (size <= ANSWER_BYTES).then(|| self.stream.tokens().concat().into_bytes());
         wire::ledger::Answer {
             status: 200,
--- a/crates/gateway/src/supervisor.rs
+++ b/crates/gateway/src/supervisor.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use tokio::task::JoinHandle;
 use tokio::task::JoinSet;
 use xtra::Actor;
 use xtra::Mailbox;
@@ -21,6 +22,15 @@
     parts: JoinSet<()>,
 }
 
+/// The task of one actor, which ends with the part that watches it.
+struct Life(JoinHandle<()>);
+
+impl Drop for Life {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
 impl Supervisor {
     /// Returns a supervisor without parts.
     pub fn new() -> Supervisor {
@@ -39,8 +49,8 @@
             let mut restarts = 0;
             loop {
                 let actor = make(restarts);
-                let run = tokio::spawn(xtra::run(mailbox.clone(), actor));
-                match run.await {
+                let mut run = Life(tokio::spawn(xtra::run(mailbox.clone(), actor)));
+                match (&mut run.0).await {
                     Ok(()) => return,
                     Err(error) if error.is_panic() => {}
                     Err(_) => return,
@@ -109,4 +119,37 @@
         assert_eq!(address.send(Ask).await, Ok(1));
         supervisor.stop().await;
     }
+
+    #[tokio::test]
+    async fn stopped_part_is_gone_though_its_address_is_held() {
+        let (address, mailbox) = Mailbox::unbounded();
+        let held = std::sync::Arc::new(());
+        let watched = std::sync::Arc::downgrade(&held);
+        let mut supervisor = Supervisor::new();
+        let mut given = Some(held);
+        supervisor.add("holder", mailbox, move |_| Holder {
+            _held: given.take(),
+        });
+        let _ = address.send(Ask).await;
+        supervisor.stop().await;
+        while watched.upgrade().is_some() {
+            tokio::task::yield_now().await;
+        }
+    }
+
+    struct Holder {
+        _held: Option<std::sync::Arc<()>>,
+    }
+
+    impl Actor for Holder {
+        type Stop = ();
+
+        async fn stopped(self) {}
+    }
+
+    impl Handler<Ask> for Holder {
+        type Return = ();
+
+        async fn handle(&mut self, _: Ask, _: &mut Context<Holder>) {}
+    }
 }
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -13,9 +13,9 @@
 //! - [`fleet`]: instances and stand-ins.
 //! - [`caller`]: one request and what its caller saw.
 //! - [`run`]: load and events on one clock.
-//! - [`judge`]: violations.
-//! - [`result`]: measures.
-//! - [`plot`]: pictures.
+//! - [`judge`]: what must not have happened.
+//! - [`result`]: what was measured.
+//! - [`plot`]: pictures of runs.
 
 pub mod caller;
 pub mod fleet;
--- a/crates/load/src/result.rs
+++ b/crates/load/src/result.rs
@@ -98,10 +98,10 @@
             *measures.reasons.entry(one.reason.clone()).or_default() += 1;
         }
         if one.ask.plain {
-            one.first().map(|first| record(&mut lookups, first));
+            record_first(&mut lookups, one);
             continue;
         }
-        one.first().map(|first| record(&mut firsts, first));
+        record_first(&mut firsts, one);
         if one.end == End::Answered {
             measures.goodput_tokens += one.tokens.len() as u64;
         }
@@ -118,6 +118,12 @@
     measures
 }
 
+fn record_first(histogram: &mut Histogram<u64>, seen: &Seen) {
+    if let Some(first) = seen.first() {
+        record(histogram, first);
+    }
+}
+
 /// Notes the gaps of a stream, and returns for how long it stood still.
 fn note_gaps(seen: &Seen, gaps: &mut Histogram<u64>) -> Duration {
     let mut stall = Duration::ZERO;
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -75,11 +75,18 @@
     seen: Mutex<Vec<Seen>>,
     absences: Mutex<Vec<Absence>>,
     events: Mutex<Vec<(Duration, String)>>,
-    versions: Mutex<(BTreeMap<(usize, u64), u64>, u64)>,
+    versions: Mutex<Versions>,
     client: HttpClient,
     origin: Instant,
 }
 
+/// Versions in force, by instance and life, and how often one went back.
+#[derive(Default)]
+struct Versions {
+    last: BTreeMap<(usize, u64), u64>,
+    reverted: u64,
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -142,7 +149,7 @@
         .iter()
         .all(|event| event.deed == Deed::RollingRestart)
         && !scenario.events.is_empty();
-    let reverted = lock(&shared.versions).1;
+    let reverted = lock(&shared.versions).reverted;
     let violations = judge::judge(&seen, &records, &absences, graceful, reverted);
     let mut all = result::measure(seen.iter());
     all.requests += unended as u64;
@@ -490,10 +497,10 @@
             for (index, (_, node)) in fleet.nodes.iter().enumerate() {
                 let Some(node) = node else { continue };
                 let version = node.config().version;
-                let last = versions.0.entry((index, node.entry.id)).or_default();
+                let last = versions.last.entry((index, node.entry.id)).or_default();
                 let back = version < *last;
                 *last = version;
-                versions.1 += u64::from(back);
+                versions.reverted += u64::from(back);
             }
         }
         tokio::time::sleep(SAMPLE_PERIOD).await;
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -19,7 +19,7 @@
 //! # Modules
 //!
 //! - [`membership`]: the state machine.
-//! - [`rendezvous`]: homes.
+//! - [`rendezvous`]: homes by hashing.
 //! - [`skew`]: the age of a frame, from wall clocks that disagree.
 
 pub mod membership;
--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -410,7 +410,7 @@
     }
 
     fn probe_next(&mut self, now: Time) -> Vec<Send> {
-        let local_turn = self.ticks % (LOCAL_PROBES + 1) != 0;
+        let local_turn = !self.ticks.is_multiple_of(LOCAL_PROBES + 1);
         let target = match local_turn {
             true => self.next_of_ring(true).or_else(|| self.next_of_ring(false)),
             false => self.next_of_ring(false).or_else(|| self.next_of_ring(true)),
@@ -616,7 +616,7 @@
         Entry {
             id,
             name: format!("i{id}").as_str().into(),
-            data_centre: if id % 2 == 0 { "a" } else { "b" }.into(),
+            data_centre: if id.is_multiple_of(2) { "a" } else { "b" }.into(),
             peers: address,
             callers: address,
             operators: address,
