--- a/crates/admit/src/cell.rs
+++ b/crates/admit/src/cell.rs
@@ -43,6 +43,8 @@
 const UNHEARD_TIME: Duration = Duration::from_secs(13);
 /// Share of the like generations whose length the prediction covers.
 const PREDICTED_SHARE: f64 = 0.75;
+/// Time between two grants on an engine that is at work.
+const GRANT_SPACING: Duration = Duration::from_millis(25);
 /// Time over which the rate of service is measured.
 const RATE_TIME: Duration = Duration::from_secs(5);
 /// Difference in utilisation below which a prefix in the cache decides.
@@ -106,6 +108,7 @@
     learning_until: Time,
     majority: bool,
     gone: BTreeMap<InstanceId, Time>,
+    last_grants: BTreeMap<Name, Time>,
     served_rate: f64,
     rate_at: Time,
     denied: BTreeSet<AttemptId>,
@@ -140,6 +143,7 @@
             learning_until: now + GRANT_LIFETIME,
             majority: true,
             gone: BTreeMap::new(),
+            last_grants: BTreeMap::new(),
             served_rate: 0.0,
             rate_at: now,
             denied: BTreeSet::new(),
@@ -166,6 +170,7 @@
             .collect();
         for name in gone {
             self.servers.remove(&name);
+            self.last_grants.remove(&name);
             self.prefixes.forget(&name);
         }
     }
@@ -362,7 +367,11 @@
             .filter(|placed| !placed.confirmed)
             .map(|placed| (placed.asked_after + UNSURE_TIME).min(placed.since + GRANT_LIFETIME))
             .min();
-        [grants, self.queue.next_expiry()]
+        let spaced = (!self.queue.is_empty())
+            .then(|| self.last_grants.values().min())
+            .flatten()
+            .map(|last| *last + GRANT_SPACING);
+        [grants, self.queue.next_expiry(), spaced]
             .into_iter()
             .flatten()
             .min()
@@ -432,6 +441,7 @@
             asked_after: now,
             heard: now,
         };
+        self.last_grants.insert(name.clone(), now);
         self.prefixes.add(&name, &ask.work.prefixes);
         self.placed.insert(ask.attempt, placed);
         Some(grant)
@@ -470,11 +480,22 @@
         if count >= limit {
             return None;
         }
+        if count > 0 && !self.is_spaced(now, name) {
+            return None;
+        }
         let slots = (count + 1) as f64 / f64::from(self.pool.batch);
         let memory = self.memory_share(server, &here, &ask.work)?;
         Some(slots.max(memory))
     }
 
+    /// The processing of a prompt delays the next token of all that run on the server, so two prompts
+    /// are kept out of one step.
+    fn is_spaced(&self, now: Time, name: &Name) -> bool {
+        let last = self.last_grants.get(name);
+        let engine = self.pool.service == Service::Engine;
+        !engine || last.is_none_or(|last| now.saturating_sub(*last) >= GRANT_SPACING)
+    }
+
     /// A home that has just started knows less than the server does, and one that sees only a
     /// minority may not be the only one. Neither grants on a cold server, nor without a fresh
     /// report.
@@ -808,12 +829,22 @@
     #[test]
     fn cold_server_gets_its_cold_limit_and_grows_with_proof() {
         let mut cell = cell(1);
-        let granted: usize = (0..4)
-            .map(|a| grants(&cell.ask(START, 1, ask(a), SHARE)))
-            .sum();
+        let mut now = START;
+        let mut granted = 0;
+        for attempt in 0..4 {
+            granted += grants(&cell.ask(now, 1, ask(attempt), SHARE));
+            now += GRANT_SPACING;
+        }
         assert_eq!(granted, 2);
-        cell.report(START, 1, &ended(0, End::Complete));
-        assert_eq!(grants(&cell.serve(START)), 2, "one place freed, one proved");
+        cell.report(now, 1, &ended(0, End::Complete));
+        let first = grants(&cell.serve(now));
+        let second = grants(&cell.serve(now + GRANT_SPACING));
+        assert_eq!(
+            (first, second),
+            (1, 1),
+            "one place freed, one proved, one prompt a step"
+        );
+        assert_eq!(grants(&cell.serve(now + GRANT_SPACING * 2)), 0);
     }
 
     #[test]
--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -35,7 +35,9 @@
     pub stream: bool,
     /// Idempotency key.
     pub key: Option<String>,
-    /// Characters of the prompt after its marker.
+    /// The prompt before its marker, which other prompts share.
+    pub preamble: String,
+    /// The prompt after its marker.
     pub filler: String,
 }
 
@@ -136,7 +138,7 @@
 }
 
 fn build(address: SocketAddr, ask: &Ask) -> hyper::Request<http_body_util::Full<bytes::Bytes>> {
-    let text = format!("{} {}", ask.marker.to_text(), ask.filler);
+    let text = format!("{}{} {}", ask.preamble, ask.marker.to_text(), ask.filler);
     let mut request = if ask.plain {
         http::request(
             "POST",
--- a/crates/load/src/judge.rs
+++ b/crates/load/src/judge.rs
@@ -236,6 +236,7 @@
                 plain: false,
                 stream: true,
                 key: None,
+                preamble: String::new(),
                 filler: String::new(),
             },
             sent: Instant::now(),
--- a/crates/load/src/result.rs
+++ b/crates/load/src/result.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::time::Duration;
+use std::time::Instant;
 
 use compact_str::CompactString;
 use hdrhistogram::Histogram;
@@ -42,11 +43,12 @@
     pub stall_total_ms: f64,
     /// Times between tokens.
     pub token_gap_ms: Quantiles,
-    /// Time to the first token of model answers.
+    /// Time to the first token of streamed answers.
     pub first_token_ms: Quantiles,
     /// Time of calls of plain services.
     pub lookup_ms: Quantiles,
-    /// Tokens of whole answers.
+    /// Tokens of whole answers that came while the load lasted. What a policy still has in its queues
+    /// then does not count for it.
     pub goodput_tokens: u64,
     /// Reasons of refusals and failures.
     pub reasons: BTreeMap<CompactString, u64>,
@@ -80,8 +82,8 @@
     pub phases: BTreeMap<&'static str, Measures>,
 }
 
-/// Measures a group of requests.
-pub fn measure<'a>(seen: impl Iterator<Item = &'a Seen>) -> Measures {
+/// Measures a group of requests of a load that lasted until a moment.
+pub fn measure<'a>(seen: impl Iterator<Item = &'a Seen>, until: Instant) -> Measures {
     let mut measures = Measures::default();
     let mut stalls = empty();
     let mut gaps = empty();
@@ -101,11 +103,13 @@
             record_first(&mut lookups, one);
             continue;
         }
-        record_first(&mut firsts, one);
         if one.end == End::Answered {
-            measures.goodput_tokens += one.tokens.len() as u64;
+            let in_time = |at: &Duration| one.sent + *at <= until;
+            let count = one.tokens.iter().filter(|(at, _)| in_time(at)).count();
+            measures.goodput_tokens += count as u64;
         }
         if one.ask.stream {
+            record_first(&mut firsts, one);
             let stall = note_gaps(one, &mut gaps);
             record(&mut stalls, stall);
             measures.stall_total_ms += stall.as_secs_f64() * 1_000.0;
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -49,6 +49,8 @@
 const RESTART: Duration = Duration::from_millis(1_200);
 /// Outputs drawn to find what engines can carry.
 const DRAWS: usize = 20_000;
+/// Characters at the start of a prompt that requests of one organisation and route share.
+const PREAMBLE_CHARS: usize = 256;
 /// Characters of a token.
 const TOKEN_CHARS: f64 = 4.0;
 
@@ -151,7 +153,8 @@
         && !scenario.events.is_empty();
     let reverted = lock(&shared.versions).reverted;
     let violations = judge::judge(&seen, &records, &absences, graceful, reverted);
-    let mut all = result::measure(seen.iter());
+    let until = began_at + Duration::from_secs_f64(scenario.duration_s);
+    let mut all = result::measure(seen.iter(), until);
     all.requests += unended as u64;
     all.failed += unended as u64;
     if unended > 0 {
@@ -173,7 +176,7 @@
             per_s(after.writes - before.writes),
         ),
         frame_bytes_s: per_s(after.bytes.saturating_sub(before.bytes)) / instances,
-        phases: phases(&seen, &absences, shared.origin),
+        phases: phases(&seen, &absences, shared.origin, until),
         all,
     };
     let events = lock(&shared.events).clone();
@@ -383,8 +386,7 @@
     let organisation = draw_organisation(scenario, rng);
     let delivery = route.settings.get("delivery").and_then(Value::as_str);
     let streams = delivery != Some("whole");
-    // Requests of one organisation share the start of their prompt.
-    let filler = format!("{organisation:<width$}", width = route.prompt_chars);
+    let preamble = format!("{} for {organisation}:", route.name);
     Ask {
         marker: Marker {
             request: number,
@@ -398,7 +400,8 @@
         plain: false,
         stream: streams,
         key: None,
-        filler,
+        preamble: format!("{preamble:<PREAMBLE_CHARS$}"),
+        filler: ".".repeat(route.prompt_chars.saturating_sub(PREAMBLE_CHARS)),
     }
 }
 
@@ -417,6 +420,7 @@
         plain: true,
         stream: false,
         key: mark.then(|| format!("key-{number}")),
+        preamble: String::new(),
         filler: String::new(),
     }
 }
@@ -816,6 +820,7 @@
     seen: &[Seen],
     absences: &[Absence],
     origin: Instant,
+    until: Instant,
 ) -> BTreeMap<&'static str, result::Measures> {
     let Some(absence) = absences.first() else {
         return BTreeMap::new();
@@ -824,17 +829,15 @@
         let at = one.sent.duration_since(origin);
         match absence.until {
             _ if at < absence.from => "before",
-            Some(until) if at >= until => "after",
+            Some(back) if at >= back => "after",
             _ => "during",
         }
     };
     ["before", "during", "after"]
         .into_iter()
         .map(|name| {
-            (
-                name,
-                result::measure(seen.iter().filter(|one| phase(one) == name)),
-            )
+            let group = seen.iter().filter(|one| phase(one) == name);
+            (name, result::measure(group, until))
         })
         .collect()
 }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -15,8 +15,8 @@
 const ENDED_TIME: Duration = Duration::from_secs(6);
 /// Time after which an engine that turned cold shows it in its reports.
 pub const CHILL_NOTICE: Duration = Duration::from_millis(1_000);
-/// Prefix hashes kept.
-const PREFIXES_MAX: usize = 512;
+/// Tokens of one part of a prompt that has a prefix hash.
+const PART_TOKENS: u32 = 64;
 /// Cache events kept to be published.
 const EVENTS_MAX: usize = 128;
 
@@ -41,6 +41,8 @@
     pub collapse: u32,
     /// Lag of its reports.
     pub lag: Duration,
+    /// Prefixes in its cache.
+    pub prefixes: usize,
     /// Whether it refuses orders with an old fencing number.
     pub fenced: bool,
     /// Time that an order to load a model takes.
@@ -59,6 +61,7 @@
             warm_after: 14,
             collapse: 12,
             lag: Duration::from_millis(150),
+            prefixes: 8,
             fenced: true,
             load_time: Duration::from_millis(800),
         }
@@ -484,18 +487,20 @@
             .iter()
             .take_while(|prefix| self.prefixes.contains(prefix))
             .count() as u32;
-        let parts = ask.prefixes.len().max(1) as u32;
-        ask.prompt / parts * matched
+        (matched * PART_TOKENS).min(ask.prompt)
     }
 
     fn remember_prefixes(&mut self, prefixes: &[u64]) {
         for prefix in prefixes {
-            if self.prefixes.contains(prefix) {
+            if let Some(index) = self.prefixes.iter().position(|known| known == prefix) {
+                // The one used last is dropped last.
+                self.prefixes.remove(index);
+                self.prefixes.push_back(*prefix);
                 continue;
             }
             self.prefixes.push_back(*prefix);
             self.publish(true, *prefix);
-            if self.prefixes.len() > PREFIXES_MAX
+            if self.prefixes.len() > self.settings.prefixes
                 && let Some(old) = self.prefixes.pop_front()
             {
                 self.publish(false, old);
