Test the whole path over loopback as callers and operators see it

Cause: shutdown, resumption, vanished callers, silent services and a failing decider were only reasoned about.

--- /dev/null
+++ b/crates/load/tests/whole_path.rs
@@ -0,0 +1,352 @@
+//! Daemons and stand-ins over loopback: what callers see when things end, break or are asked wrongly.
+//!
+//! Nothing here depends on how fast the machine is: waits end when what they wait for is there.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use gateway::http;
+use gateway::http::HttpClient;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use load::caller;
+use load::caller::Ask;
+use load::caller::End;
+use load::fleet::Backend;
+use load::fleet::Centre;
+use load::fleet::Fleet;
+use load::fleet::Plan;
+use serde_json::Value;
+use serde_json::json;
+use standin::token;
+use standin::token::Marker;
+use wigeon_core::Policy;
+
+const TOKEN: &str = "org-token";
+
+fn plan(instances: usize) -> Plan {
+    let hash = conf::hash_token(TOKEN);
+    Plan {
+        centres: vec![
+            Centre {
+                name: "a".into(),
+                instances,
+                engines: 1,
+                plains: 1,
+            },
+            Centre {
+                name: "b".into(),
+                instances: 1,
+                engines: 1,
+                plains: 0,
+            },
+        ],
+        engine: standin::engine::Settings {
+            step: Duration::from_millis(10),
+            ..standin::engine::Settings::default()
+        },
+        plain: standin::plain::Settings::default(),
+        policy: Policy::Home,
+        warm: true,
+        shutdown_delay: Duration::from_millis(300),
+        config: [
+            "put data-centre a {}",
+            "put data-centre b {}",
+            &format!(r#"put organisation org {{"token_hash": "{hash}"}}"#),
+            r#"put pool engines {}"#,
+            r#"put pool plains {"service": "plain"}"#,
+            r#"put route letter {"pool": "engines"}"#,
+            r#"put route bulletin {"pool": "engines", "delivery": "whole"}"#,
+            r#"put route mark {"pool": "plains", "idempotent": false, "rerun": false}"#,
+        ]
+        .map(String::from)
+        .to_vec(),
+        seed: 1,
+    }
+}
+
+fn ask(request: u64, length: u32, route: &str) -> Ask {
+    Ask {
+        marker: Marker {
+            request,
+            length,
+            ..Marker::default()
+        },
+        route: route.into(),
+        token: TOKEN.into(),
+        organisation: "org".into(),
+        plain: route == "mark",
+        stream: route == "letter",
+        key: (route == "mark").then(|| format!("key-{request}")),
+        preamble: String::new(),
+        filler: String::new(),
+    }
+}
+
+fn texts(marker: &Marker, count: u32) -> String {
+    (0..count).map(|index| token::text(marker, 0, index)).collect()
+}
+
+async fn post(client: &HttpClient, address: SocketAddr, body: &str) -> (StatusCode, Value) {
+    let mut request = http::request("POST", address, "/v1/completions", body.to_string());
+    let value = format!("Bearer {TOKEN}").parse().expect("a header");
+    request.headers_mut().insert("authorization", value);
+    let response = client.request(request).await.expect("a response");
+    let status = response.status();
+    let bytes = response.into_body().collect().await.expect("a body").to_bytes();
+    (status, serde_json::from_slice(&bytes).unwrap_or_default())
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn bad_requests_get_a_clear_error_and_say_that_nothing_ran() {
+    let fleet = Fleet::start(&plan(1)).await.expect("the fleet starts");
+    let client = http::client(true);
+    let address = fleet.callers()[0];
+    let large = format!(r#"{{"model": "letter", "prompt": "{}"}}"#, "x".repeat(2 << 20));
+    let cases = [
+        (r#"{"model": "#, StatusCode::BAD_REQUEST, "body"),
+        (r#"{"model": "letter"}"#, StatusCode::BAD_REQUEST, "prompt"),
+        (r#"{"model": "none", "prompt": "p"}"#, StatusCode::NOT_FOUND, "no-route"),
+        (r#"{"model": "mark", "prompt": "p"}"#, StatusCode::NOT_FOUND, "no-route"),
+        (large.as_str(), StatusCode::PAYLOAD_TOO_LARGE, "body-too-large"),
+    ];
+    for (body, status, code) in cases {
+        let (found, value) = post(&client, address, body).await;
+        assert_eq!((found, value["error"]["code"].as_str()), (status, Some(code)));
+        assert_eq!(value["error"]["run"], "none");
+    }
+    let mut stranger = ask(1, 5, "letter");
+    stranger.token = "nobody".into();
+    let seen = caller::call(&client, address, stranger).await;
+    assert_eq!((seen.end, seen.reason.as_str()), (End::Refused, "organisation"));
+    fleet.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn graceful_shutdown_cuts_no_stream_and_serves_what_comes_during_its_delay() {
+    let mut fleet = Fleet::start(&plan(2)).await.expect("the fleet starts");
+    let address = fleet.callers()[0];
+    let running: Vec<_> = (0..6)
+        .map(|number| {
+            let client = http::client(false);
+            let ask = ask(100 + number, 120, "letter");
+            tokio::spawn(async move { caller::call(&client, address, ask).await })
+        })
+        .collect();
+    wait_for_starts(&fleet, 6).await;
+    let second = tokio::spawn(http2_stream(address, ask(200, 120, "letter").marker));
+    wait_for_starts(&fleet, 7).await;
+    let late = tokio::spawn(async move {
+        // Sent once the shutdown has begun, as a balancer that lags would.
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        caller::call(&http::client(false), address, ask(300, 10, "letter")).await
+    });
+    fleet.replace_node(0, true).await.expect("a new instance starts");
+    for call in running {
+        let seen = call.await.expect("the call ends");
+        assert_eq!((seen.end, seen.tokens.len()), (End::Answered, 120));
+    }
+    assert!(second.await.expect("the stream ends").ends_with("data: [DONE]\n\n"));
+    assert_eq!(late.await.expect("the call ends").end, End::Answered);
+    fleet.stop().await;
+}
+
+async fn wait_for_starts(fleet: &Fleet, count: usize) {
+    let started = |fleet: &Fleet| -> usize {
+        fleet
+            .servers
+            .iter()
+            .map(|server| match &server.backend {
+                Backend::Engine(engine) => engine.with(|engine| engine.record.starts.len()),
+                Backend::Plain(_) => 0,
+            })
+            .sum()
+    };
+    while started(fleet) < count {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+async fn http2_stream(address: SocketAddr, marker: Marker) -> String {
+    let client: Client<_, Full<Bytes>> =
+        Client::builder(TokioExecutor::new()).http2_only(true).build_http();
+    let body = json!({"model": "letter", "prompt": marker.to_text(), "stream": true});
+    let request = Request::post(format!("http://{address}/v1/completions"))
+        .header("authorization", format!("Bearer {TOKEN}"))
+        .body(Full::new(Bytes::from(body.to_string())))
+        .expect("a request");
+    let response = client.request(request).await.expect("a response");
+    let bytes = response.into_body().collect().await.expect("a whole body").to_bytes();
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn answer_is_read_on_through_another_instance() {
+    let fleet = Fleet::start(&plan(2)).await.expect("the fleet starts");
+    let client = http::client(true);
+    let marker = ask(7, 60, "letter").marker;
+    let body = json!({"model": "letter", "prompt": marker.to_text(), "stream": true});
+    let mut request =
+        http::request("POST", fleet.callers()[0], "/v1/completions", body.to_string());
+    authorise(&mut request);
+    let response = client.request(request).await.expect("a response");
+    let name = response.headers()["x-wigeon-answer"].to_str().expect("a text").to_string();
+    let mut first = response.into_body();
+    let _ = first.frame().await;
+    drop(first);
+
+    let path = format!("/v1/answers/{name}");
+    let mut request = http::request("GET", fleet.callers()[1], &path, "");
+    authorise(&mut request);
+    let last = "9".parse().expect("a header");
+    request.headers_mut().insert("last-event-id", last);
+    let response = client.request(request).await.expect("a response");
+    let text = body_text(response).await;
+    let ids: Vec<&str> = text.lines().filter_map(|line| line.strip_prefix("id: ")).collect();
+    assert_eq!(ids.first(), Some(&"10"));
+    assert_eq!(ids.len(), 51, "fifty tokens and the end");
+    assert!(text.ends_with("data: [DONE]\n\n"));
+    fleet.stop().await;
+}
+
+fn authorise(request: &mut Request<Full<Bytes>>) {
+    let value = format!("Bearer {TOKEN}").parse().expect("a header");
+    request.headers_mut().insert("authorization", value);
+}
+
+async fn body_text(response: Response<Incoming>) -> String {
+    let bytes = response.into_body().collect().await.expect("a body").to_bytes();
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn vanished_caller_cancels_its_generation() {
+    let fleet = Fleet::start(&plan(1)).await.expect("the fleet starts");
+    let client = http::client(false);
+    let address = fleet.callers()[0];
+    let call = tokio::spawn(async move {
+        caller::call(&client, address, ask(8, 100_000, "letter")).await
+    });
+    wait_for_starts(&fleet, 1).await;
+    call.abort();
+    let busy = |fleet: &Fleet| {
+        fleet.servers.iter().any(|server| match &server.backend {
+            Backend::Engine(engine) => engine.with(|engine| !engine.requests().is_empty()),
+            Backend::Plain(_) => false,
+        })
+    };
+    while busy(&fleet) {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    fleet.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn whole_answer_survives_the_crash_of_its_engine() {
+    let fleet = Fleet::start(&plan(1)).await.expect("the fleet starts");
+    let address = fleet.callers()[0];
+    let ask = ask(9, 150, "bulletin");
+    let expected = texts(&ask.marker, 150);
+    let call = tokio::spawn(async move {
+        caller::call(&http::client(false), address, ask).await
+    });
+    wait_for_starts(&fleet, 1).await;
+    crash_busy_engine(&fleet).await;
+    let seen = call.await.expect("the call ends");
+    let text: String = seen.tokens.iter().map(|(_, text)| text.as_str()).collect();
+    assert_eq!((seen.end, text), (End::Answered, expected));
+    fleet.stop().await;
+}
+
+async fn crash_busy_engine(fleet: &Fleet) {
+    for server in &fleet.servers {
+        if let Backend::Engine(engine) = &server.backend
+            && engine.with(|engine| !engine.requests().is_empty())
+        {
+            engine.crash().await;
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn streams_go_on_while_the_decider_is_replaced() {
+    let fleet = Fleet::start(&plan(1)).await.expect("the fleet starts");
+    let address = fleet.callers()[0];
+    let call = tokio::spawn(async move {
+        caller::call(&http::client(false), address, ask(10, 150, "letter")).await
+    });
+    wait_for_starts(&fleet, 1).await;
+    if let Some(node) = &fleet.nodes[0].1 {
+        node.break_decider().await;
+    }
+    let seen = call.await.expect("the call ends");
+    assert_eq!((seen.end, seen.tokens.len()), (End::Answered, 150));
+    let again = loop {
+        // The new decider has to read the configuration first.
+        let seen = caller::call(&http::client(false), address, ask(11, 10, "letter")).await;
+        if seen.end == End::Answered {
+            break seen;
+        }
+        assert_eq!(seen.end, End::Refused);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    };
+    assert_eq!(again.tokens.len(), 10);
+    fleet.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn mark_on_a_silent_server_runs_once_and_is_told_as_unknown() {
+    let fleet = Fleet::start(&plan(1)).await.expect("the fleet starts");
+    let address = fleet.callers()[0];
+    for server in &fleet.servers {
+        if let Backend::Plain(plain) = &server.backend {
+            plain.set_silent(true);
+        }
+    }
+    let first = caller::call(&http::client(false), address, ask(12, 1, "mark")).await;
+    assert_eq!((first.end, first.reason.as_str()), (End::Failed, "lost"));
+    for server in &fleet.servers {
+        if let Backend::Plain(plain) = &server.backend {
+            plain.set_silent(false);
+        }
+    }
+    let again = caller::call(&http::client(false), address, ask(12, 1, "mark")).await;
+    assert_eq!((again.end, again.reason.as_str()), (End::Failed, "key-unknown"));
+    let runs: usize = fleet
+        .servers
+        .iter()
+        .map(|server| match &server.backend {
+            Backend::Plain(plain) => plain.with(|plain| plain.record.starts.len()),
+            Backend::Engine(_) => 0,
+        })
+        .sum();
+    assert_eq!(runs, 1);
+    fleet.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn operators_are_asked_for_their_token_and_told_what_is_wrong() {
+    let fleet = Fleet::start(&plan(1)).await.expect("the fleet starts");
+    let client = http::client(true);
+    let operators = fleet.nodes[0].0.operators;
+    let request = http::request("POST", operators, "/v1/command", "{}");
+    let response = client.request(request).await.expect("a response");
+    assert_eq!(response.status(), StatusCode::UNAUTHORIZED);
+    let error = fleet.command(0, "take out east").await.unwrap_err();
+    assert!(format!("{error:#}").contains("column 10"), "{error:#}");
+    let error = fleet.command(0, "set pool engines batch 0").await.unwrap_err();
+    assert!(format!("{error:#}").contains("pools.engines.batch"), "{error:#}");
+    fleet.command(0, "take out data-centre a").await.expect("it is accepted");
+    let error = fleet.command(1, "take out data-centre b").await.unwrap_err();
+    assert!(format!("{error:#}").contains("last one in service"), "{error:#}");
+    let shown = fleet.command(1, "show servers by data-centre").await.expect("rows");
+    assert_eq!(shown["table"]["columns"], json!(["data-centre", "count"]));
+    fleet.stop().await;
+}
