--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -15,11 +15,13 @@
 //! - [`run`]: load and events on one clock.
 //! - [`judge`]: what must not have happened.
 //! - [`result`]: what was measured.
+//! - [`overhead`]: what a daemon adds to a stream.
 //! - [`plot`]: pictures of runs.
 
 pub mod caller;
 pub mod fleet;
 pub mod judge;
+pub mod overhead;
 pub mod plot;
 pub mod result;
 pub mod run;
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -4,6 +4,7 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
+use load::overhead;
 use load::plot;
 use load::result;
 use load::run;
@@ -20,7 +21,10 @@
 struct Arguments {
     /// file with the scenario
     #[argh(option)]
-    scenario: PathBuf,
+    scenario: Option<PathBuf>,
+    /// measure what a daemon adds to a stream, instead of a scenario
+    #[argh(switch)]
+    overhead: bool,
     /// seed of the arrivals
     #[argh(option, default = "1")]
     seed: u64,
@@ -47,7 +51,14 @@
     if arguments.logs {
         logforth::starter_log::stderr().apply();
     }
-    let scenario = match Scenario::read(&arguments.scenario) {
+    if arguments.overhead {
+        return show_overhead().await;
+    }
+    let Some(path) = &arguments.scenario else {
+        eprintln!("wigeonload: --scenario FILE is missing");
+        return ExitCode::from(2);
+    };
+    let scenario = match Scenario::read(path) {
         Ok(scenario) => scenario,
         Err(error) => {
             eprintln!("wigeonload: {error:#}");
@@ -64,6 +75,19 @@
     }
 }
 
+async fn show_overhead() -> ExitCode {
+    match overhead::measure().await {
+        Ok(overhead) => {
+            println!("{}", json!(overhead));
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("wigeonload: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 /// Returns whether nothing was violated. Only the policy under test is judged, not the one it is
 /// compared with.
 async fn experiment(arguments: &Arguments, scenario: &Scenario) -> anyhow::Result<bool> {
--- a/crates/load/tests/whole_path.rs
+++ b/crates/load/tests/whole_path.rs
@@ -91,7 +91,9 @@
 }
 
 fn texts(marker: &Marker, count: u32) -> String {
-    (0..count).map(|index| token::text(marker, 0, index)).collect()
+    (0..count)
+        .map(|index| token::text(marker, 0, index))
+        .collect()
 }
 
 async fn post(client: &HttpClient, address: SocketAddr, body: &str) -> (StatusCode, Value) {
@@ -100,7 +102,12 @@
     request.headers_mut().insert("authorization", value);
     let response = client.request(request).await.expect("a response");
     let status = response.status();
-    let bytes = response.into_body().collect().await.expect("a body").to_bytes();
+    let bytes = response
+        .into_body()
+        .collect()
+        .await
+        .expect("a body")
+        .to_bytes();
     (status, serde_json::from_slice(&bytes).unwrap_or_default())
 }
 
@@ -109,23 +116,44 @@
     let fleet = Fleet::start(&plan(1)).await.expect("the fleet starts");
     let client = http::client(true);
     let address = fleet.callers()[0];
-    let large = format!(r#"{{"model": "letter", "prompt": "{}"}}"#, "x".repeat(2 << 20));
+    let large = format!(
+        r#"{{"model": "letter", "prompt": "{}"}}"#,
+        "x".repeat(2 << 20)
+    );
     let cases = [
         (r#"{"model": "#, StatusCode::BAD_REQUEST, "body"),
         (r#"{"model": "letter"}"#, StatusCode::BAD_REQUEST, "prompt"),
-        (r#"{"model": "none", "prompt": "p"}"#, StatusCode::NOT_FOUND, "no-route"),
-        (r#"{"model": "mark", "prompt": "p"}"#, StatusCode::NOT_FOUND, "no-route"),
-        (large.as_str(), StatusCode::PAYLOAD_TOO_LARGE, "body-too-large"),
+        (
+            r#"{"model": "none", "prompt": "p"}"#,
+            StatusCode::NOT_FOUND,
+            "no-route",
+        ),
+        (
+            r#"{"model": "mark", "prompt": "p"}"#,
+            StatusCode::NOT_FOUND,
+            "no-route",
+        ),
+        (
+            large.as_str(),
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "body-too-large",
+        ),
     ];
     for (body, status, code) in cases {
         let (found, value) = post(&client, address, body).await;
-        assert_eq!((found, value["error"]["code"].as_str()), (status, Some(code)));
+        assert_eq!(
+            (found, value["error"]["code"].as_str()),
+            (status, Some(code))
+        );
         assert_eq!(value["error"]["run"], "none");
     }
     let mut stranger = ask(1, 5, "letter");
     stranger.token = "nobody".into();
     let seen = caller::call(&client, address, stranger).await;
-    assert_eq!((seen.end, seen.reason.as_str()), (End::Refused, "organisation"));
+    assert_eq!(
+        (seen.end, seen.reason.as_str()),
+        (End::Refused, "organisation")
+    );
     fleet.stop().await;
 }
 
@@ -148,12 +176,20 @@
         tokio::time::sleep(Duration::from_millis(50)).await;
         caller::call(&http::client(false), address, ask(300, 10, "letter")).await
     });
-    fleet.replace_node(0, true).await.expect("a new instance starts");
+    fleet
+        .replace_node(0, true)
+        .await
+        .expect("a new instance starts");
     for call in running {
         let seen = call.await.expect("the call ends");
         assert_eq!((seen.end, seen.tokens.len()), (End::Answered, 120));
     }
-    assert!(second.await.expect("the stream ends").ends_with("data: [DONE]\n\n"));
+    assert!(
+        second
+            .await
+            .expect("the stream ends")
+            .ends_with("data: [DONE]\n\n")
+    );
     assert_eq!(late.await.expect("the call ends").end, End::Answered);
     fleet.stop().await;
 }
@@ -175,15 +211,21 @@
 }
 
 async fn http2_stream(address: SocketAddr, marker: Marker) -> String {
-    let client: Client<_, Full<Bytes>> =
-        Client::builder(TokioExecutor::new()).http2_only(true).build_http();
+    let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new())
+        .http2_only(true)
+        .build_http();
     let body = json!({"model": "letter", "prompt": marker.to_text(), "stream": true});
     let request = Request::post(format!("http://{address}/v1/completions"))
         .header("authorization", format!("Bearer {TOKEN}"))
         .body(Full::new(Bytes::from(body.to_string())))
         .expect("a request");
     let response = client.request(request).await.expect("a response");
-    let bytes = response.into_body().collect().await.expect("a whole body").to_bytes();
+    let bytes = response
+        .into_body()
+        .collect()
+        .await
+        .expect("a whole body")
+        .to_bytes();
     String::from_utf8_lossy(&bytes).into_owned()
 }
 
@@ -193,11 +235,18 @@
     let client = http::client(true);
     let marker = ask(7, 60, "letter").marker;
     let body = json!({"model": "letter", "prompt": marker.to_text(), "stream": true});
-    let mut request =
-        http::request("POST", fleet.callers()[0], "/v1/completions", body.to_string());
+    let mut request = http::request(
+        "POST",
+        fleet.callers()[0],
+        "/v1/completions",
+        body.to_string(),
+    );
     authorise(&mut request);
     let response = client.request(request).await.expect("a response");
-    let name = response.headers()["x-wigeon-answer"].to_str().expect("a text").to_string();
+    let name = response.headers()["x-wigeon-answer"]
+        .to_str()
+        .expect("a text")
+        .to_string();
     let mut first = response.into_body();
     let _ = first.frame().await;
     drop(first);
@@ -209,7 +258,10 @@
     request.headers_mut().insert("last-event-id", last);
     let response = client.request(request).await.expect("a response");
     let text = body_text(response).await;
-    let ids: Vec<&str> = text.lines().filter_map(|line| line.strip_prefix("id: ")).collect();
+    let ids: Vec<&str> = text
+        .lines()
+        .filter_map(|line| line.strip_prefix("id: "))
+        .collect();
     assert_eq!(ids.first(), Some(&"10"));
     assert_eq!(ids.len(), 51, "fifty tokens and the end");
     assert!(text.ends_with("data: [DONE]\n\n"));
@@ -222,7 +274,12 @@
 }
 
 async fn body_text(response: Response<Incoming>) -> String {
-    let bytes = response.into_body().collect().await.expect("a body").to_bytes();
+    let bytes = response
+        .into_body()
+        .collect()
+        .await
+        .expect("a body")
+        .to_bytes();
     String::from_utf8_lossy(&bytes).into_owned()
 }
 
@@ -231,9 +288,10 @@
     let fleet = Fleet::start(&plan(1)).await.expect("the fleet starts");
     let client = http::client(false);
     let address = fleet.callers()[0];
-    let call = tokio::spawn(async move {
-        caller::call(&client, address, ask(8, 100_000, "letter")).await
-    });
+    let call =
+        tokio::spawn(
+            async move { caller::call(&client, address, ask(8, 100_000, "letter")).await },
+        );
     wait_for_starts(&fleet, 1).await;
     call.abort();
     let busy = |fleet: &Fleet| {
@@ -254,9 +312,7 @@
     let address = fleet.callers()[0];
     let ask = ask(9, 150, "bulletin");
     let expected = texts(&ask.marker, 150);
-    let call = tokio::spawn(async move {
-        caller::call(&http::client(false), address, ask).await
-    });
+    let call = tokio::spawn(async move { caller::call(&http::client(false), address, ask).await });
     wait_for_starts(&fleet, 1).await;
     crash_busy_engine(&fleet).await;
     let seen = call.await.expect("the call ends");
@@ -318,7 +374,10 @@
         }
     }
     let again = caller::call(&http::client(false), address, ask(12, 1, "mark")).await;
-    assert_eq!((again.end, again.reason.as_str()), (End::Failed, "key-unknown"));
+    assert_eq!(
+        (again.end, again.reason.as_str()),
+        (End::Failed, "key-unknown")
+    );
     let runs: usize = fleet
         .servers
         .iter()
@@ -341,12 +400,30 @@
     assert_eq!(response.status(), StatusCode::UNAUTHORIZED);
     let error = fleet.command(0, "take out east").await.unwrap_err();
     assert!(format!("{error:#}").contains("column 10"), "{error:#}");
-    let error = fleet.command(0, "set pool engines batch 0").await.unwrap_err();
-    assert!(format!("{error:#}").contains("pools.engines.batch"), "{error:#}");
-    fleet.command(0, "take out data-centre a").await.expect("it is accepted");
-    let error = fleet.command(1, "take out data-centre b").await.unwrap_err();
-    assert!(format!("{error:#}").contains("last one in service"), "{error:#}");
-    let shown = fleet.command(1, "show servers by data-centre").await.expect("rows");
+    let error = fleet
+        .command(0, "set pool engines batch 0")
+        .await
+        .unwrap_err();
+    assert!(
+        format!("{error:#}").contains("pools.engines.batch"),
+        "{error:#}"
+    );
+    fleet
+        .command(0, "take out data-centre a")
+        .await
+        .expect("it is accepted");
+    let error = fleet
+        .command(1, "take out data-centre b")
+        .await
+        .unwrap_err();
+    assert!(
+        format!("{error:#}").contains("last one in service"),
+        "{error:#}"
+    );
+    let shown = fleet
+        .command(1, "show servers by data-centre")
+        .await
+        .expect("rows");
     assert_eq!(shown["table"]["columns"], json!(["data-centre", "count"]));
     fleet.stop().await;
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -12,11 +12,13 @@
 //!
 //! # Modules
 //!
+//! - [`capacity`]: what instances cost as the fleet grows.
 //! - [`world`]: instances, stand-ins, events.
 //! - [`relay`]: the shell's part of an attempt.
 //! - [`fault`]: what goes wrong.
 //! - [`verdict`]: what must hold in the end.
 
+pub mod capacity;
 pub mod fault;
 pub mod relay;
 pub mod verdict;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -11,6 +11,9 @@
     /// first seed
     #[argh(option, default = "0")]
     from: u64,
+    /// measure what instances cost as the fleet grows, instead of making runs
+    #[argh(switch)]
+    capacity: bool,
     /// number of runs
     #[argh(option, default = "200")]
     count: u64,
@@ -18,6 +21,10 @@
 
 fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
+    if arguments.capacity {
+        soak::capacity::print();
+        return ExitCode::SUCCESS;
+    }
     let mut answered = 0;
     let mut requests = 0;
     for seed in arguments.from..arguments.from + arguments.count {
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -42,6 +42,44 @@
 /// Time between two readings of the list.
 const LIST_PERIOD: Duration = Duration::from_millis(400);
 
+/// How large a world is and how busy.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Plan {
+    /// Data centres.
+    pub centres: usize,
+    /// Instances in all.
+    pub instances: usize,
+    /// Model engines in each data centre.
+    pub engines: usize,
+    /// Plain services in each data centre.
+    pub plains: usize,
+    /// Organisations.
+    pub organisations: usize,
+    /// Mean time between two requests.
+    pub pause: Duration,
+    /// Longest usual output, in tokens.
+    pub length: u32,
+    /// Share of the requests that carry an idempotency key, where it is set.
+    pub marks: Option<f64>,
+    /// Whether things go wrong.
+    pub trouble: bool,
+}
+
+/// What the instances have cost, together.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Cost {
+    /// Processor time.
+    pub time: Duration,
+    /// Bytes of frames sent, with their hashes.
+    pub bytes: u64,
+    /// Frames sent.
+    pub frames: u64,
+    /// Bytes of frames by their purpose: membership, admission, ledger, configuration.
+    pub by_purpose: [u64; 4],
+    /// Calls of the store.
+    pub store_calls: u64,
+}
+
 /// One instance with its shell.
 #[derive(Debug)]
 pub struct Node {
@@ -82,6 +120,27 @@
     readers: BTreeMap<u64, Reader>,
 }
 
+impl Cost {
+    fn note(&mut self, frame: &Frame) {
+        /// Bytes of the hash at the end of a frame.
+        const TAG_BYTES: usize = 16;
+        let coded = postcard::to_stdvec(frame).map_or(0, |bytes| bytes.len());
+        let bytes = (coded + TAG_BYTES) as u64;
+        let purpose = match frame.body {
+            wire::Body::Ping { .. } | wire::Body::Ack { .. } | wire::Body::PingFor { .. } => 0,
+            wire::Body::Claim(_)
+            | wire::Body::Claimed { .. }
+            | wire::Body::Settle(_)
+            | wire::Body::Settled { .. } => 2,
+            wire::Body::Fetch { .. } | wire::Body::Changes { .. } | wire::Body::Whole { .. } => 3,
+            _ => 1,
+        };
+        self.frames += 1;
+        self.bytes += bytes;
+        self.by_purpose[purpose] += bytes;
+    }
+}
+
 impl Server {
     /// Returns how often it got more than a cold server bears.
     pub fn over_cold(&self) -> u64 {
@@ -205,6 +264,9 @@
     pub trace: VecDeque<String>,
     /// Whether there is load and trouble.
     pub troubled: bool,
+    /// What the instances have cost so far.
+    pub cost: Cost,
+    plan: Plan,
     queue: BinaryHeap<Reverse<(Time, u64)>>,
     actions: BTreeMap<u64, Action>,
     next: u64,
@@ -214,9 +276,28 @@
 impl World {
     /// Returns a world of a few data centres, with its configuration and its load.
     pub fn new(seed: u64) -> World {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let plan = Plan {
+            centres: rng.usize(2..=3),
+            instances: rng.usize(3..=9),
+            engines: 2,
+            plains: 1,
+            organisations: 1,
+            pause: Duration::from_millis(37),
+            length: 40,
+            marks: None,
+            trouble: true,
+        };
+        World::with_plan(plan, rng)
+    }
+
+    /// Returns a world of a given size.
+    pub fn with_plan(plan: Plan, rng: fastrand::Rng) -> World {
         let mut world = World {
             now: Time::ZERO,
-            rng: fastrand::Rng::with_seed(seed),
+            rng,
+            cost: Cost::default(),
+            plan,
             nodes: Vec::new(),
             servers: BTreeMap::new(),
             platform: Platform::default(),
@@ -240,17 +321,25 @@
     }
 
     fn build(&mut self) {
-        let centres = self.rng.usize(2..=3);
-        let instances = self.rng.usize(3..=9);
+        let Plan {
+            centres,
+            instances,
+            engines,
+            plains,
+            ..
+        } = self.plan;
+        if !self.plan.trouble {
+            self.loss = 0.0;
+        }
         for index in 0..instances {
             self.add_node(index, Name::from(format!("dc{}", index % centres)));
         }
         for centre in 0..centres {
-            for index in 0..3 {
-                self.add_server(centre, index, index < 2);
+            for index in 0..engines + plains {
+                self.add_server(centre, index, index < engines);
             }
         }
-        for line in configuration(centres) {
+        for line in configuration(&self.plan) {
             self.command(0, line);
         }
         for node in 0..instances {
@@ -258,7 +347,9 @@
             self.schedule(LOOK_PERIOD, Action::Look { node });
         }
         self.schedule(Duration::from_millis(1_500), Action::Load);
-        self.schedule(Duration::from_millis(2_500), Action::Trouble);
+        if self.plan.trouble {
+            self.schedule(Duration::from_millis(2_500), Action::Trouble);
+        }
     }
 
     fn add_node(&mut self, index: usize, data_centre: Name) {
@@ -299,7 +390,7 @@
             Backend::Plain(Plain::new(standin::plain::Settings::default(), boot))
         };
         let data_centre = Name::from(format!("dc{centre}"));
-        let port = 20_000 + (centre * 10 + index) as u16;
+        let port = 20_000 + (centre * 1_000 + index) as u16;
         let listed = ListedServer {
             name: name.clone(),
             data_centre: data_centre.clone(),
@@ -424,7 +515,9 @@
             return;
         }
         let wall = WALL + self.now + node.skew;
+        let started = std::time::Instant::now();
         let outputs = node.instance.handle(self.now, wall, input);
+        self.cost.time += started.elapsed();
         for output in outputs {
             self.carry_out(index, output);
         }
@@ -465,6 +558,7 @@
             Output::Finish { request, outcome } => self.finish(index, request, &outcome),
             Output::Send { address, to, body } => self.send(index, address, to, body),
             Output::Store(sent) => {
+                self.cost.store_calls += 1;
                 let delay = self.delay();
                 let until = self.now + sent.timeout;
                 let (id, call) = (sent.id, sent.call);
@@ -562,6 +656,7 @@
             wall_ms: wall.as_millis() as u64,
             body,
         };
+        self.cost.note(&frame);
         // Now and then a frame is late enough to be overtaken. Doubled ones are dropped by the
         // shell's window and not modelled.
         let late = if self.rng.f64() < self.loss {
@@ -1005,17 +1100,19 @@
             return;
         }
         let number = self.callers.len() as u64 + 1;
-        let route = *self
-            .rng
-            .choice(["letter", "bulletin", "status", "mark", "mark"].iter())
-            .expect("one");
+        let route = self.draw_route();
         let plain = matches!(route, "status" | "mark");
-        let tail = if self.rng.f64() < 0.1 { 300 } else { 40 };
+        let usual = self.plan.length;
+        let tail = if self.rng.f64() < 0.1 {
+            usual * 8
+        } else {
+            usual
+        };
         let marker = Marker {
             request: number,
             length: if plain { 1 } else { self.rng.u32(1..tail) },
             sampled: self.rng.f64() < 0.3,
-            poison: !plain && self.rng.f64() < 0.004,
+            poison: self.plan.trouble && !plain && self.rng.f64() < 0.004,
         };
         let caller = Caller {
             marker,
@@ -1029,15 +1126,28 @@
         };
         self.callers.insert(number, caller);
         self.send_request(number);
-        if self.rng.f64() < 0.05 {
+        if self.plan.trouble && self.rng.f64() < 0.05 {
             // The same key through two instances at once.
             self.send_request(number);
         }
-        let wait = Duration::from_millis(self.rng.u64(5..70));
+        let wait = self.plan.pause.mul_f64(0.2 + 1.6 * self.rng.f64());
         self.schedule(wait, Action::Load);
     }
 
+    fn draw_route(&mut self) -> &'static str {
+        if let Some(marks) = self.plan.marks {
+            return if self.rng.f64() < marks {
+                "mark"
+            } else {
+                "letter"
+            };
+        }
+        let routes = ["letter", "bulletin", "status", "mark", "mark"];
+        routes[self.rng.usize(0..routes.len())]
+    }
+
     fn send_request(&mut self, number: u64) {
+        let organisation = number as usize % self.plan.organisations;
         let index = self.rng.usize(0..self.nodes.len());
         let life = self.nodes[index].life;
         let caller = self.callers.get_mut(&number).expect("the caller is known");
@@ -1049,7 +1159,7 @@
             .then(|| once::hash_key("org", "mark", &number.to_string()));
         let request = Request {
             id,
-            organisation: "org".into(),
+            organisation: format!("org{organisation}").as_str().into(),
             route: caller.route.into(),
             key,
             fingerprint: number,
@@ -1146,13 +1256,17 @@
     Instance::new(settings)
 }
 
-fn configuration(centres: usize) -> Vec<String> {
-    let mut lines: Vec<String> = (0..centres)
+fn configuration(plan: &Plan) -> Vec<String> {
+    let mut lines: Vec<String> = (0..plan.centres)
         .map(|centre| format!("put data-centre dc{centre} {{}}"))
         .collect();
-    let token = conf::hash_token("secret");
+    for index in 0..plan.organisations {
+        let token = conf::hash_token(&format!("secret{index}"));
+        lines.push(format!(
+            r#"put organisation org{index} {{"token_hash":"{token}"}}"#
+        ));
+    }
     lines.extend([
-        format!(r#"put organisation org {{"token_hash":"{token}"}}"#),
         r#"put pool letters {"cold_limit":2,"batch":8}"#.into(),
         r#"put pool marks {"service":"plain","cold_limit":2,"batch":8}"#.into(),
         r#"put route letter {"pool":"letters","deadline_ms":4000}"#.into(),
