Tell joined requests at once, and give suspects time

Cause: a request that joined another run of its key learnt of the end by asking again every 200 ms, after an ending that itself waited 240 ms for company; and of 32 requests that ran on two crashed engines some did not get a place alone within their route's 2.5 s.

--- a/crates/core/src/serve.rs
+++ b/crates/core/src/serve.rs
@@ -31,6 +31,9 @@
 const HINT_DEFAULT: u32 = 128;
 /// Pause before a retry is tried again for which there was no budget.
 const BUDGET_PAUSE: Duration = Duration::from_millis(150);
+/// Longest wait of a suspect for a place. It gets one only where no other suspect runs, which may take
+/// its time after a crash of a full engine, and most of them are innocent.
+const SUSPECT_DEADLINE: Duration = Duration::from_secs(30);
 /// Pause before a suspect is tried again, so that strikes of the same crash have spread.
 const SUSPECT_PAUSE: Duration = Duration::from_millis(300);
 
@@ -352,7 +355,12 @@
         }
         job.phase = Phase::Waiting;
         // The wait for a place starts anew; the time that it ran does not count against it.
-        job.deadline = self.now + job.route.deadline();
+        let standing = self.suspects.standing(self.now, job.request.fingerprint);
+        let patience = match standing {
+            Standing::Suspect => job.route.deadline().max(SUSPECT_DEADLINE),
+            _ => job.route.deadline(),
+        };
+        job.deadline = self.now + patience;
         let retries = job.retries;
         let backoff = route::retry::backoff(retries, &mut self.rng);
         self.set_due(id, self.now + pause + backoff);
--- a/crates/load/src/result.rs
+++ b/crates/load/src/result.rs
@@ -45,8 +45,10 @@
     pub token_gap_ms: Quantiles,
     /// Time to the first token of streamed answers.
     pub first_token_ms: Quantiles,
-    /// Time of calls of plain services.
+    /// Time of idempotent calls of plain services.
     pub lookup_ms: Quantiles,
+    /// Time of calls of plain services that must not run twice.
+    pub mark_ms: Quantiles,
     /// Tokens of whole answers that came while the load lasted. What a policy still has in its queues
     /// then does not count for it.
     pub goodput_tokens: u64,
@@ -89,6 +91,7 @@
     let mut gaps = empty();
     let mut firsts = empty();
     let mut lookups = empty();
+    let mut marks = empty();
     for one in seen {
         measures.requests += 1;
         match one.end {
@@ -100,7 +103,8 @@
             *measures.reasons.entry(one.reason.clone()).or_default() += 1;
         }
         if one.ask.plain {
-            record_first(&mut lookups, one);
+            let keyed = one.ask.key.is_some();
+            record_first(if keyed { &mut marks } else { &mut lookups }, one);
             continue;
         }
         if one.end == End::Answered {
@@ -119,6 +123,7 @@
     measures.token_gap_ms = quantiles(&gaps);
     measures.first_token_ms = quantiles(&firsts);
     measures.lookup_ms = quantiles(&lookups);
+    measures.mark_ms = quantiles(&marks);
     measures
 }
 
--- a/crates/once/src/ledger.rs
+++ b/crates/once/src/ledger.rs
@@ -27,6 +27,10 @@
 const SETTLE_PERIOD: Duration = Duration::from_millis(240);
 /// Pause after the service could not be reached.
 const OUTAGE_PAUSE: Duration = Duration::from_millis(300);
+/// Pause after a swap whose answer was lost, before the record is read back.
+const LOST_PAUSE: Duration = Duration::from_millis(60);
+/// Requests that wait here for the end of another one with their key.
+const JOINED_MAX: usize = 1_024;
 /// Age of a copy of a record after which a key found taken is looked up again.
 const COPY_AGE: Duration = Duration::from_millis(1_500);
 /// Ended claims that are remembered, so that a late copy of a claim is not taken up.
@@ -90,6 +94,15 @@
     flight: Option<Flight>,
     not_before: Time,
     broken: bool,
+    joined: Vec<Joined>,
+}
+
+/// A request that was told that its key is in use.
+#[derive(Clone, Copy, Debug)]
+struct Joined {
+    key: wire::Key,
+    claim: RequestId,
+    source: Source,
 }
 
 /// The record as it stood at a revision.
@@ -175,7 +188,10 @@
         let numbers: Vec<u32> = self.shards.keys().copied().collect();
         for number in numbers {
             let shard = self.shards.get_mut(&number).expect("the shard was listed");
+            let keys = shard.claimed_keys();
+            let first = effects.len();
             let call = shard.next_call(number, now, wall, &mut effects);
+            shard.note_joined(&effects[first..], &keys);
             let Some(call) = call else { continue };
             if matches!(call, Call::Swap { .. }) {
                 self.swaps += 1;
@@ -196,7 +212,10 @@
             return Vec::new();
         };
         let shard = self.shards.get_mut(&number).expect("a ticket has a shard");
-        shard.take_answer(now, answer)
+        let keys = shard.claimed_keys();
+        let effects = shard.take_answer(now, answer);
+        shard.note_joined(&effects, &keys);
+        effects
     }
 
     /// Returns when something is next due.
@@ -235,8 +254,11 @@
     }
 
     fn due(&self) -> Time {
-        let claims = self.waiting.iter().any(|op| matches!(op, Op::Claim { .. }));
-        if claims {
+        let urgent = self.waiting.iter().any(|op| match op {
+            Op::Claim { .. } => true,
+            Op::Settle { settle, .. } => self.joined.iter().any(|one| one.key == settle.key),
+        });
+        if urgent {
             self.not_before
         } else {
             self.not_before + SETTLE_PERIOD
@@ -321,6 +343,7 @@
                     record: next,
                     read: now,
                 });
+                self.tell_joined(&mut effects);
             }
             (Flight::Swap { batch, .. }, Answer::Conflict { revision, value }) => {
                 self.put_back(batch);
@@ -330,7 +353,7 @@
                 // Whether it took effect shows in the record; until then nothing is known.
                 self.copy = None;
                 self.put_back(batch);
-                self.not_before = now + OUTAGE_PAUSE;
+                self.not_before = now + LOST_PAUSE;
             }
             (Flight::Swap { batch, .. }, _) => {
                 refuse(batch, &mut effects, &mut self.waiting);
@@ -348,6 +371,61 @@
         effects
     }
 
+    /// Tells those who wait for the end of another request with their key, once it is recorded.
+    fn tell_joined(&mut self, effects: &mut Vec<Effect>) {
+        let Some(copy) = &self.copy else { return };
+        self.joined.retain(|one| {
+            let verdict = copy.record.verdict(one.key, one.claim);
+            let ended = matches!(verdict, Some(Verdict::Done(_) | Verdict::Unknown));
+            if let Some(verdict) = verdict.filter(|_| ended) {
+                effects.push(Effect::Claimed {
+                    source: one.source,
+                    claim: one.claim,
+                    verdict,
+                });
+            }
+            !ended
+        });
+    }
+
+    /// Remembers who was told that a key is in use.
+    fn note_joined(&mut self, effects: &[Effect], keys: &BTreeMap<RequestId, wire::Key>) {
+        for effect in effects {
+            let Effect::Claimed {
+                source,
+                claim,
+                verdict: Verdict::Taken { .. },
+            } = effect
+            else {
+                continue;
+            };
+            let Some(key) = keys.get(claim) else { continue };
+            self.joined.retain(|one| one.claim != *claim);
+            if self.joined.len() >= JOINED_MAX {
+                self.joined.remove(0);
+            }
+            self.joined.push(Joined {
+                key: *key,
+                claim: *claim,
+                source: *source,
+            });
+        }
+    }
+
+    /// Returns the keys of the claims that wait or fly.
+    fn claimed_keys(&self) -> BTreeMap<RequestId, wire::Key> {
+        let flying = match &self.flight {
+            Some(Flight::Swap { batch, .. }) => batch.as_slice(),
+            _ => &[],
+        };
+        let all = self.waiting.iter().chain(flying);
+        all.filter_map(|op| match op {
+            Op::Claim { claim, .. } => Some((claim.claim, claim.key)),
+            Op::Settle { .. } => None,
+        })
+        .collect()
+    }
+
     fn read(&mut self, now: Time, revision: Revision, value: &[u8]) {
         match Record::from_bytes(value) {
             Ok(record) => {
@@ -638,6 +716,35 @@
         assert_eq!(later.verdict(1, 8), None);
     }
 
+    #[test]
+    fn joined_request_is_told_as_soon_as_the_other_one_has_ended() {
+        let mut world = World::new();
+        world.claim(0, 1);
+        run(&mut world);
+        let first = world.runs[&1][0];
+        world.claim(0, 1);
+        run(&mut world);
+        let answer = wire::ledger::Answer::default();
+        let done = Outcome::Done(answer.clone());
+        world.ledgers[0].settle(Source::Own, settle(1, first, done));
+        let told = (0..40).any(|_| {
+            world.step(10);
+            let Some((who, ticket, call)) = world.flying.pop() else {
+                return false;
+            };
+            let reply = world.service.call(&call);
+            let effects = world.ledgers[who].answer(world.now, ticket, reply);
+            let is_told = |effect: &Effect| match effect {
+                Effect::Claimed { claim, verdict, .. } => {
+                    *claim != first && *verdict == Verdict::Done(answer.clone())
+                }
+                _ => false,
+            };
+            effects.iter().any(is_told)
+        });
+        assert!(told);
+    }
+
     #[test]
     fn outage_refuses_claims_and_keeps_endings() {
         let mut world = World::new();
