--- a/crates/admit/src/cell.rs
+++ b/crates/admit/src/cell.rs
@@ -1,5 +1,7 @@
 //! The state machine of a home.
 
+mod room;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -21,8 +23,7 @@
 use wire::admission::Report;
 use wire::admission::Work;
 
-use crate::memory;
-use crate::memory::Use;
+use self::room::GRANT_SPACING;
 use crate::queue::Queue;
 use crate::queue::Waiting;
 use crate::server::Listing;
@@ -41,14 +42,8 @@
 /// Time after which an attempt that no report names any more is forgotten. Holders report in full
 /// more than twice in that time.
 const UNHEARD_TIME: Duration = Duration::from_secs(13);
-/// Share of the like generations whose length the prediction covers.
-const PREDICTED_SHARE: f64 = 0.75;
-/// Time between two grants on an engine that is at work.
-const GRANT_SPACING: Duration = Duration::from_millis(25);
 /// Time over which the rate of service is measured.
 const RATE_TIME: Duration = Duration::from_secs(5);
-/// Difference in utilisation below which a prefix in the cache decides.
-const AFFINITY_SLACK: f64 = 0.15;
 /// Least and greatest time that a denied holder is told to wait.
 const RETRY_MIN: Duration = Duration::from_millis(200);
 /// Greatest time that a denied holder is told to wait.
@@ -447,116 +442,6 @@
         Some(grant)
     }
 
-    /// Returns the server that runs an ask best, among those that have room for it.
-    fn choose(&mut self, now: Time, ask: &Ask) -> Option<Name> {
-        let mut open: Vec<(f64, usize, u64, Name)> = Vec::new();
-        for name in self.servers.keys() {
-            if ask.avoid.contains(name) {
-                continue;
-            }
-            if let Some(utilisation) = self.room(now, name, ask) {
-                let matched = self.prefixes.matched(name, &ask.work.prefixes);
-                open.push((utilisation, matched, self.rng.u64(..), name.clone()));
-            }
-        }
-        let least = open.iter().map(|one| one.0).reduce(f64::min)?;
-        open.retain(|one| one.0 <= least + AFFINITY_SLACK);
-        open.sort_by(|a, b| b.1.cmp(&a.1).then(a.0.total_cmp(&b.0)).then(a.2.cmp(&b.2)));
-        open.into_iter().next().map(|one| one.3)
-    }
-
-    /// Returns how full a server would be with an ask, or `None` if it has no room for it.
-    fn room(&self, now: Time, name: &Name, ask: &Ask) -> Option<f64> {
-        let server = &self.servers[name];
-        if !server.is_open(now) || !self.may_judge(now, server) {
-            return None;
-        }
-        let here: Vec<&Placed> = self.placed.values().filter(|p| p.server == *name).collect();
-        if ask.suspect && here.iter().any(|placed| placed.suspect) {
-            return None;
-        }
-        let count = here.len() + self.unexplained(server, &here);
-        let limit = server.limit() as usize;
-        if count >= limit {
-            return None;
-        }
-        if count > 0 && !self.is_spaced(now, name) {
-            return None;
-        }
-        let slots = (count + 1) as f64 / f64::from(self.pool.batch);
-        let memory = self.memory_share(server, &here, &ask.work)?;
-        Some(slots.max(memory))
-    }
-
-    /// The processing of a prompt delays the next token of all that run on the server, so two prompts
-    /// are kept out of one step.
-    fn is_spaced(&self, now: Time, name: &Name) -> bool {
-        let last = self.last_grants.get(name);
-        let engine = self.pool.service == Service::Engine;
-        !engine || last.is_none_or(|last| now.saturating_sub(*last) >= GRANT_SPACING)
-    }
-
-    /// A home that has just started knows less than the server does, and one that sees only a
-    /// minority may not be the only one. Neither grants on a cold server, nor without a fresh
-    /// report.
-    fn may_judge(&self, now: Time, server: &Server) -> bool {
-        let certain = now >= self.learning_until && self.majority;
-        certain || (server.is_fresh(now) && !server.is_cold(&self.pool))
-    }
-
-    /// Returns how many requests a server reported beyond those that this home knew of by then.
-    fn unexplained(&self, server: &Server, here: &[&Placed]) -> usize {
-        let Some((at, load)) = server.load else {
-            return 0;
-        };
-        let known = here.iter().filter(|placed| placed.since <= at).count();
-        let shown = (load.running + load.waiting) as usize;
-        shown.saturating_sub(known + server.ends_since_report())
-    }
-
-    /// Returns the share of a server's memory at its predicted peak, or `None` if it is too small.
-    fn memory_share(&self, server: &Server, here: &[&Placed], work: &Work) -> Option<f64> {
-        if self.pool.service == Service::Plain {
-            return Some(0.0);
-        }
-        let Some(capacity) = server.capacity(&self.pool) else {
-            return Some(0.0);
-        };
-        let mut uses: Vec<Use> = here
-            .iter()
-            .map(|p| self.use_of(&p.work, p.generated))
-            .collect();
-        uses.push(self.use_of(work, 0));
-        let usable = server.margin.usable(capacity);
-        let peak = memory::peak(&mut uses);
-        // A generation that would not fit even alone is still given an empty server.
-        let fits = peak <= usable || here.is_empty();
-        fits.then(|| peak as f64 / usable.max(1) as f64)
-    }
-
-    fn use_of(&self, work: &Work, generated: u32) -> Use {
-        let rest = self.rest(work, generated);
-        Use {
-            held: u64::from(work.prompt) + u64::from(generated),
-            rest: u64::from(rest),
-        }
-    }
-
-    fn rest(&self, work: &Work, generated: u32) -> u32 {
-        let organisation = &work.organisation;
-        self.lengths.rest(
-            &work.route,
-            organisation,
-            generated,
-            PREDICTED_SHARE,
-            work.hint,
-        )
-    }
-
-    fn cost(&self, work: &Work) -> f64 {
-        f64::from(self.rest(work, 0)) + f64::from(work.prompt) / 8.0
-    }
-
     fn is_limited(&self, organisation: &Name) -> bool {
         let limit = self.shares.get(organisation).map_or(0, |share| share.limit);
         let count = || {
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -4,11 +4,7 @@
 //! `failed`, and `x-wigeon-run` is `none` where it certainly did not run, `complete` where it ran to
 //! its end, and `unknown` otherwise. Errors repeat both in their JSON body.
 
-use std::convert::Infallible;
-use std::pin::Pin;
 use std::sync::Arc;
-use std::task::Context;
-use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -17,19 +13,16 @@
 use conf::Delivery;
 use conf::Route;
 use conf::Service;
-use futures_core::Stream;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::StreamBody;
 use hyper::Method;
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::body::Frame;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderValue;
 use hyper::header::RETRY_AFTER;
-use serde_json::Value;
 use serde_json::json;
 use tokio::sync::watch;
 use wigeon_core::Input;
@@ -42,9 +35,14 @@
 use crate::answer::Ending;
 use crate::answer::Look;
 use crate::answer::Registry;
+use crate::completion::Style;
+use crate::completion::parse_completion;
+use crate::completion::prefixes;
 use crate::decider::Find;
 use crate::decider::Status;
 use crate::decider::Take;
+use crate::events::Events;
+use crate::events::Passed;
 use crate::http;
 use crate::http::Body;
 use crate::http::BodyError;
@@ -56,8 +54,6 @@
 
 /// Characters of a token, for an estimate of a prompt's tokens.
 const TOKEN_CHARS: usize = 4;
-/// Characters of one part of a prompt that is hashed for prefix affinity.
-const PREFIX_CHARS: usize = 256;
 /// Time that a caller has to come back before its generation is cancelled.
 const GRACE: Duration = Duration::from_secs(3);
 /// Longest idempotency key, in bytes.
@@ -77,16 +73,6 @@
     pub proxy: HttpClient,
 }
 
-/// What a caller asks of an engine.
-#[derive(Debug)]
-struct Asked {
-    route: CompactString,
-    prompt: String,
-    limit: Option<u32>,
-    stream: bool,
-    chat: bool,
-}
-
 /// Answers one HTTP request.
 pub async fn handle(callers: Arc<Callers>, request: hyper::Request<Incoming>) -> Response<Body> {
     let path = request.uri().path().to_string();
@@ -238,60 +224,6 @@
     problem(StatusCode::NOT_FOUND, Reason::NoRoute.as_str(), &text)
 }
 
-/// Reads the body of a completion. An error names the field.
-fn parse_completion(body: &[u8], chat: bool) -> Result<Asked, (&'static str, String)> {
-    let value: Value =
-        serde_json::from_slice(body).map_err(|error| ("body", format!("not JSON: {error}")))?;
-    let model = value.get("model").and_then(Value::as_str);
-    let route = model.ok_or(("model", "must be a text".to_string()))?;
-    let prompt = if chat {
-        chat_prompt(&value)?
-    } else {
-        let prompt = value.get("prompt").and_then(Value::as_str);
-        prompt
-            .ok_or(("prompt", "must be a text".to_string()))?
-            .to_string()
-    };
-    let limit = match value.get("max_tokens") {
-        None | Some(Value::Null) => None,
-        Some(limit) => Some(
-            limit
-                .as_u64()
-                .and_then(|limit| u32::try_from(limit).ok())
-                .filter(|limit| *limit > 0)
-                .ok_or(("max_tokens", "must be a whole number above 0".to_string()))?,
-        ),
-    };
-    let stream = match value.get("stream") {
-        None | Some(Value::Null) => false,
-        Some(Value::Bool(stream)) => *stream,
-        Some(_) => return Err(("stream", "must be true or false".into())),
-    };
-    Ok(Asked {
-        route: route.into(),
-        prompt,
-        limit,
-        stream,
-        chat,
-    })
-}
-
-fn chat_prompt(value: &Value) -> Result<String, (&'static str, String)> {
-    let messages = value.get("messages").and_then(Value::as_array);
-    let messages = messages.ok_or(("messages", "must be a list".to_string()))?;
-    let mut prompt = String::new();
-    for (index, message) in messages.iter().enumerate() {
-        let role = message.get("role").and_then(Value::as_str);
-        let content = message.get("content").and_then(Value::as_str);
-        let (Some(role), Some(content)) = (role, content) else {
-            let text = format!("item {index} must have a role and a content, both texts");
-            return Err(("messages", text));
-        };
-        prompt.push_str(&format!("{role}: {content}\n"));
-    }
-    Ok(prompt)
-}
-
 fn allowed_route(
     config: &Config,
     name: &str,
@@ -332,19 +264,6 @@
     })
 }
 
-/// Returns the hashes of a prompt's prefixes, shortest first.
-fn prefixes(text: &str) -> Vec<u64> {
-    let mut hash = xxhash_rust::xxh3::Xxh3::new();
-    text.as_bytes()
-        .chunks_exact(PREFIX_CHARS)
-        .take(wire::admission::PREFIXES_MAX)
-        .map(|part| {
-            hash.update(part);
-            hash.digest()
-        })
-        .collect()
-}
-
 /// Starts the relay of a request.
 fn begin(callers: &Arc<Callers>, request: Request, payload: Payload, route: Route) -> Arc<Answer> {
     let answer = Arc::new(Answer::default());
@@ -408,10 +327,10 @@
 }
 
 /// One reader of an answer. When the last one has gone for a while, the decider is told.
-struct Reader {
+pub(crate) struct Reader {
     callers: Arc<Callers>,
     id: RequestId,
-    answer: Arc<Answer>,
+    pub(crate) answer: Arc<Answer>,
 }
 
 impl Reader {
@@ -442,63 +361,6 @@
     }
 }
 
-/// How an answer is written.
-struct Style {
-    name: String,
-    model: CompactString,
-    chat: bool,
-}
-
-impl Style {
-    fn object(&self, part: bool) -> &'static str {
-        match (self.chat, part) {
-            (true, true) => "chat.completion.chunk",
-            (true, false) => "chat.completion",
-            (false, _) => "text_completion",
-        }
-    }
-
-    /// One event with a token, or with the end.
-    fn event(&self, index: usize, token: Option<&str>) -> String {
-        let finish = if token.is_none() {
-            json!("stop")
-        } else {
-            Value::Null
-        };
-        let text = token.unwrap_or("");
-        let choice = if self.chat {
-            json!({"index": 0, "delta": {"content": text}, "finish_reason": finish})
-        } else {
-            json!({"index": 0, "text": text, "finish_reason": finish})
-        };
-        let body = json!({
-            "id": self.name,
-            "object": self.object(true),
-            "model": self.model,
-            "choices": [choice],
-        });
-        format!("id: {index}\ndata: {body}\n\n")
-    }
-
-    fn whole(&self, tokens: &[CompactString]) -> String {
-        let text = tokens.concat();
-        let choice = if self.chat {
-            let message = json!({"role": "assistant", "content": text});
-            json!({"index": 0, "message": message, "finish_reason": "stop"})
-        } else {
-            json!({"index": 0, "text": text, "finish_reason": "stop"})
-        };
-        let body = json!({
-            "id": self.name,
-            "object": self.object(false),
-            "model": self.model,
-            "choices": [choice],
-            "usage": {"completion_tokens": tokens.len()},
-        });
-        body.to_string()
-    }
-}
-
 /// Waits for the end of an answer and returns it in one piece.
 async fn whole_answer(reader: Reader, style: &Style) -> Response<Body> {
     let mut tokens = Vec::new();
@@ -619,91 +481,13 @@
         return ended(&ending, &[], &style);
     }
     let name = style.name.clone();
-    let events = Events {
-        changes: Box::pin(wait_for_change(reader.answer.watch())),
-        reader,
-        next: from,
-        style,
-        over: false,
-    };
+    let events = Events::new(reader, from, style);
     let mut response = Response::new(BodyExt::boxed(StreamBody::new(events)));
     let media = HeaderValue::from_static("text/event-stream");
     response.headers_mut().insert(CONTENT_TYPE, media);
     named(response, &name)
 }
 
-type Change = Pin<Box<dyn Future<Output = watch::Receiver<u64>> + Send + Sync>>;
-
-async fn wait_for_change(mut receiver: watch::Receiver<u64>) -> watch::Receiver<u64> {
-    let _ = receiver.changed().await;
-    receiver
-}
-
-/// The events of one answer for one reader.
-struct Events {
-    reader: Reader,
-    changes: Change,
-    next: usize,
-    style: Style,
-    over: bool,
-}
-
-impl Events {
-    fn last(&self, ending: &Ending) -> String {
-        match ending {
-            Ending::Whole => {
-                let end = self.style.event(self.next, None);
-                format!("{end}data: [DONE]\n\n")
-            }
-            Ending::Plain { .. } => "data: [DONE]\n\n".into(),
-            Ending::Other(outcome) => {
-                let (word, reason) = outcome_words(outcome);
-                let body = json!({"error": {
-                    "code": reason,
-                    "outcome": word,
-                    "run": "unknown",
-                    "delivered": self.next,
-                }});
-                format!("event: error\ndata: {body}\n\n")
-            }
-        }
-    }
-}
-
-impl Stream for Events {
-    type Item = Result<Frame<Bytes>, Infallible>;
-
-    fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
-        if self.over {
-            return Poll::Ready(None);
-        }
-        loop {
-            let text = match self.reader.answer.look(self.next) {
-                Look::Tokens(first, tokens) => {
-                    let numbered = tokens.iter().enumerate();
-                    let events: String = numbered
-                        .map(|(index, token)| self.style.event(first + index, Some(token)))
-                        .collect();
-                    self.next = first + tokens.len();
-                    events
-                }
-                Look::End(ending) => {
-                    self.over = true;
-                    self.last(&ending)
-                }
-                Look::Nothing => match self.changes.as_mut().poll(context) {
-                    Poll::Pending => return Poll::Pending,
-                    Poll::Ready(receiver) => {
-                        self.changes = Box::pin(wait_for_change(receiver));
-                        continue;
-                    }
-                },
-            };
-            return Poll::Ready(Some(Ok(Frame::data(Bytes::from(text)))));
-        }
-    }
-}
-
 /// Returns an answer from an index on, from here or from the instance that holds it.
 async fn fetch(callers: Arc<Callers>, request: hyper::Request<Incoming>) -> Response<Body> {
     let config = callers.status.borrow().config.clone();
@@ -785,42 +569,10 @@
 /// callers notice.
 fn pass_on(response: Response<Incoming>) -> Response<Body> {
     let (parts, body) = response.into_parts();
-    let body = Passed {
-        body,
-        broken: false,
-    };
+    let body = Passed::new(body);
     Response::from_parts(parts, BodyExt::boxed(body))
 }
 
-struct Passed {
-    body: Incoming,
-    broken: bool,
-}
-
-impl hyper::body::Body for Passed {
-    type Data = Bytes;
-    type Error = Infallible;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        if self.broken {
-            return Poll::Ready(None);
-        }
-        Pin::new(&mut self.body)
-            .poll_frame(context)
-            .map(|frame| match frame {
-                Some(Ok(frame)) => Some(Ok(frame)),
-                Some(Err(_)) => {
-                    self.broken = true;
-                    None
-                }
-                None => None,
-            })
-    }
-}
-
 /// Returns whether a route's answers are shown token by token.
 pub fn is_streamed(route: &Route) -> bool {
     route.delivery == Delivery::Stream
@@ -832,38 +584,10 @@
 
     use super::*;
 
-    #[test]
-    fn errors_name_the_field() {
-        let place = |body: &str, chat| parse_completion(body.as_bytes(), chat).unwrap_err().0;
-        assert_eq!(place("{", false), "body");
-        assert_eq!(place(r#"{"prompt": "a"}"#, false), "model");
-        assert_eq!(place(r#"{"model": "m", "prompt": 3}"#, false), "prompt");
-        assert_eq!(
-            place(r#"{"model": "m", "messages": [{}]}"#, true),
-            "messages"
-        );
-        let body = r#"{"model": "m", "prompt": "p", "max_tokens": 0}"#;
-        assert_eq!(place(body, false), "max_tokens");
-        let body = r#"{"model": "m", "prompt": "p", "stream": "yes"}"#;
-        assert_eq!(place(body, false), "stream");
-    }
-
     proptest! {
-        #[test]
-        fn no_body_panics(body in proptest::collection::vec(any::<u8>(), 0..300), chat in any::<bool>()) {
-            let _ = parse_completion(&body, chat);
-        }
-
         #[test]
         fn no_name_panics(name in ".{0,60}") {
             let _ = parse_name(&name);
         }
-
-        #[test]
-        fn prefixes_of_a_shared_start_are_shared(start in "[a-z]{512}", one in "[a-z]{0,300}", other in "[a-z]{0,300}") {
-            let first = prefixes(&format!("{start}{one}"));
-            let second = prefixes(&format!("{start}{other}"));
-            prop_assert_eq!(&first[..2], &second[..2]);
-        }
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,8 @@
 //! - [`relay`]: one request's attempts.
 //! - [`answer`]: the tokens of one answer, for any number of readers.
 //! - [`callers`]: the callers' HTTP interface.
+//! - `completion`: completions as callers write and read them.
+//! - `events`: bodies that come bit by bit.
 //! - [`operators`]: the operators' HTTP interface.
 //! - [`backend`]: the adapter to model engines and plain services.
 //! - [`platform`]: the adapter to the key-value service and the list.
@@ -37,7 +39,9 @@
 pub mod backend;
 pub mod barrier;
 pub mod callers;
+mod completion;
 pub mod decider;
+mod events;
 pub mod http;
 pub mod metrics;
 pub mod node;
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`scenario`]: what is run, with its checks.
 //! - [`fleet`]: instances and stand-ins.
 //! - [`caller`]: one request and what its caller saw.
+//! - `deed`: what happens to a fleet under load.
 //! - [`run`]: load and events on one clock.
 //! - [`judge`]: what must not have happened.
 //! - [`result`]: what was measured.
@@ -19,6 +20,7 @@
 //! - [`plot`]: pictures of runs.
 
 pub mod caller;
+mod deed;
 pub mod fleet;
 pub mod judge;
 pub mod overhead;
--- a/crates/once/src/ledger.rs
+++ b/crates/once/src/ledger.rs
@@ -3,13 +3,11 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
-use std::time::Duration;
 
 use clock::Time;
 use clock::Wall;
 use store::Answer;
 use store::Call;
-use store::Revision;
 use store::Ticket;
 use wire::InstanceId;
 use wire::RequestId;
@@ -17,22 +15,10 @@
 use wire::ledger::Settle;
 use wire::ledger::Verdict;
 
-use crate::record::Record;
-use crate::shard_name;
+use crate::shard::Op;
+use crate::shard::Shard;
 use crate::shard_of;
 
-/// Least time between two swaps of one shard.
-pub const SWAP_PERIOD: Duration = Duration::from_millis(60);
-/// Time that a batch of endings alone may wait for claims to go with it.
-const SETTLE_PERIOD: Duration = Duration::from_millis(240);
-/// Pause after the service could not be reached.
-const OUTAGE_PAUSE: Duration = Duration::from_millis(300);
-/// Pause after a swap whose answer was lost, before the record is read back.
-const LOST_PAUSE: Duration = Duration::from_millis(60);
-/// Requests that wait here for the end of another one with their key.
-const JOINED_MAX: usize = 1_024;
-/// Age of a copy of a record after which a key found taken is looked up again.
-const COPY_AGE: Duration = Duration::from_millis(1_500);
 /// Ended claims that are remembered, so that a late copy of a claim is not taken up.
 const ENDED_MAX: usize = 4_096;
 /// Most operations that wait for one shard.
@@ -87,44 +73,6 @@
     swaps: u64,
 }
 
-#[derive(Debug, Default)]
-struct Shard {
-    copy: Option<Copy>,
-    waiting: VecDeque<Op>,
-    flight: Option<Flight>,
-    not_before: Time,
-    broken: bool,
-    joined: Vec<Joined>,
-}
-
-/// A request that was told that its key is in use.
-#[derive(Clone, Copy, Debug)]
-struct Joined {
-    key: wire::Key,
-    claim: RequestId,
-    source: Source,
-}
-
-/// The record as it stood at a revision.
-#[derive(Clone, Debug)]
-struct Copy {
-    revision: Revision,
-    record: Record,
-    read: Time,
-}
-
-#[derive(Debug)]
-enum Flight {
-    Read,
-    Swap { next: Record, batch: Vec<Op> },
-}
-
-#[derive(Clone, Debug)]
-enum Op {
-    Claim { claim: Claim, source: Source },
-    Settle { settle: Settle, source: Source },
-}
-
 impl Ledger {
     /// Returns a ledger over a number of shards.
     ///
@@ -243,271 +191,17 @@
     }
 }
 
-impl Shard {
-    fn has_claim(&self, wanted: RequestId) -> bool {
-        let is_it = |op: &Op| matches!(op, Op::Claim { claim, .. } if claim.claim == wanted);
-        let flying = match &self.flight {
-            Some(Flight::Swap { batch, .. }) => batch.iter().any(is_it),
-            _ => false,
-        };
-        flying || self.waiting.iter().any(is_it)
-    }
-
-    fn due(&self) -> Time {
-        let urgent = self.waiting.iter().any(|op| match op {
-            Op::Claim { .. } => true,
-            Op::Settle { settle, .. } => self.joined.iter().any(|one| one.key == settle.key),
-        });
-        if urgent {
-            self.not_before
-        } else {
-            self.not_before + SETTLE_PERIOD
-        }
-    }
-
-    fn next_call(
-        &mut self,
-        number: u32,
-        now: Time,
-        wall: Wall,
-        effects: &mut Vec<Effect>,
-    ) -> Option<Call> {
-        if self.flight.is_some() || self.waiting.is_empty() || now < self.due() {
-            return None;
-        }
-        let key = shard_name(number);
-        let stale = |copy: &Copy| now.saturating_sub(copy.read) > COPY_AGE;
-        if self.copy.as_ref().is_none_or(stale) {
-            self.flight = Some(Flight::Read);
-            return Some(Call::Get { key });
-        }
-        self.answer_known(effects);
-        let copy = self.copy.as_ref()?;
-        let batch: Vec<Op> = self.waiting.drain(..).collect();
-        if batch.is_empty() {
-            return None;
-        }
-        let mut next = copy.record.clone();
-        next.prune(wall);
-        let changed = apply(&mut next, &batch, wall);
-        if !changed {
-            confirm(&batch, &next, effects);
-            return None;
-        }
-        let Some(value) = next.to_bytes() else {
-            refuse(batch, effects, &mut self.waiting);
-            self.not_before = now + OUTAGE_PAUSE;
-            return None;
-        };
-        let expect = copy.revision;
-        self.not_before = now + SWAP_PERIOD;
-        self.flight = Some(Flight::Swap { next, batch });
-        Some(Call::Swap {
-            key,
-            expect,
-            value,
-            ttl_ms: 0,
-        })
-    }
-
-    /// Answers the claims whose key stands in the copy. What a copy says of a key that was claimed
-    /// stays true or becomes free again, and a claim that is told "taken" is repeated by its owner.
-    fn answer_known(&mut self, effects: &mut Vec<Effect>) {
-        let Some(copy) = &self.copy else { return };
-        self.waiting.retain(|op| {
-            let Op::Claim { claim, source } = op else {
-                return true;
-            };
-            let Some(verdict) = copy.record.verdict(claim.key, claim.claim) else {
-                return true;
-            };
-            effects.push(Effect::Claimed {
-                source: *source,
-                claim: claim.claim,
-                verdict,
-            });
-            false
-        });
-    }
-
-    fn take_answer(&mut self, now: Time, answer: Answer) -> Vec<Effect> {
-        let mut effects = Vec::new();
-        let Some(flight) = self.flight.take() else {
-            return effects;
-        };
-        match (flight, answer) {
-            (Flight::Swap { next, batch }, Answer::Swapped { revision }) => {
-                confirm(&batch, &next, &mut effects);
-                self.copy = Some(Copy {
-                    revision,
-                    record: next,
-                    read: now,
-                });
-                self.tell_joined(&mut effects);
-            }
-            (Flight::Swap { batch, .. }, Answer::Conflict { revision, value }) => {
-                self.put_back(batch);
-                self.read(now, revision, &value);
-            }
-            (Flight::Swap { batch, .. }, Answer::Unknown) => {
-                // Whether it took effect shows in the record; until then nothing is known.
-                self.copy = None;
-                self.put_back(batch);
-                self.not_before = now + LOST_PAUSE;
-            }
-            (Flight::Swap { batch, .. }, _) => {
-                refuse(batch, &mut effects, &mut self.waiting);
-                self.not_before = now + OUTAGE_PAUSE;
-            }
-            (Flight::Read, Answer::Value { revision, value }) => {
-                self.read(now, revision, &value);
-            }
-            (Flight::Read, _) => {
-                let waiting = std::mem::take(&mut self.waiting).into_iter().collect();
-                refuse(waiting, &mut effects, &mut self.waiting);
-                self.not_before = now + OUTAGE_PAUSE;
-            }
-        }
-        effects
-    }
-
-    /// Tells those who wait for the end of another request with their key, once it is recorded.
-    fn tell_joined(&mut self, effects: &mut Vec<Effect>) {
-        let Some(copy) = &self.copy else { return };
-        self.joined.retain(|one| {
-            let verdict = copy.record.verdict(one.key, one.claim);
-            let ended = matches!(verdict, Some(Verdict::Done(_) | Verdict::Unknown));
-            if let Some(verdict) = verdict.filter(|_| ended) {
-                effects.push(Effect::Claimed {
-                    source: one.source,
-                    claim: one.claim,
-                    verdict,
-                });
-            }
-            !ended
-        });
-    }
-
-    /// Remembers who was told that a key is in use.
-    fn note_joined(&mut self, effects: &[Effect], keys: &BTreeMap<RequestId, wire::Key>) {
-        for effect in effects {
-            let Effect::Claimed {
-                source,
-                claim,
-                verdict: Verdict::Taken { .. },
-            } = effect
-            else {
-                continue;
-            };
-            let Some(key) = keys.get(claim) else { continue };
-            self.joined.retain(|one| one.claim != *claim);
-            if self.joined.len() >= JOINED_MAX {
-                self.joined.remove(0);
-            }
-            self.joined.push(Joined {
-                key: *key,
-                claim: *claim,
-                source: *source,
-            });
-        }
-    }
-
-    /// Returns the keys of the claims that wait or fly.
-    fn claimed_keys(&self) -> BTreeMap<RequestId, wire::Key> {
-        let flying = match &self.flight {
-            Some(Flight::Swap { batch, .. }) => batch.as_slice(),
-            _ => &[],
-        };
-        let all = self.waiting.iter().chain(flying);
-        all.filter_map(|op| match op {
-            Op::Claim { claim, .. } => Some((claim.claim, claim.key)),
-            Op::Settle { .. } => None,
-        })
-        .collect()
-    }
-
-    fn read(&mut self, now: Time, revision: Revision, value: &[u8]) {
-        match Record::from_bytes(value) {
-            Ok(record) => {
-                self.broken = false;
-                self.copy = Some(Copy {
-                    revision,
-                    record,
-                    read: now,
-                });
-            }
-            Err(_) => {
-                self.broken = true;
-                self.copy = None;
-                self.not_before = now + OUTAGE_PAUSE;
-            }
-        }
-    }
-
-    fn put_back(&mut self, batch: Vec<Op>) {
-        for op in batch.into_iter().rev() {
-            self.waiting.push_front(op);
-        }
-    }
-}
-
-/// Applies a batch in order. Returns whether the record changed.
-fn apply(record: &mut Record, batch: &[Op], wall: Wall) -> bool {
-    let mut changed = false;
-    for op in batch {
-        match op {
-            Op::Claim { claim, .. } => {
-                changed |= record.verdict(claim.key, claim.claim).is_none();
-                record.claim(claim, wall);
-            }
-            Op::Settle { settle, .. } => {
-                changed |= record.settle(settle.key, settle.claim, &settle.outcome, wall);
-            }
-        }
-    }
-    changed
-}
-
-/// Answers a batch from the record that it led to.
-fn confirm(batch: &[Op], record: &Record, effects: &mut Vec<Effect>) {
-    for op in batch {
-        effects.push(match op {
-            Op::Claim { claim, source } => Effect::Claimed {
-                source: *source,
-                claim: claim.claim,
-                // A key that was claimed and released in one batch is free for whoever asks again.
-                verdict: record
-                    .verdict(claim.key, claim.claim)
-                    .unwrap_or(Verdict::Unavailable),
-            },
-            Op::Settle { settle, source } => Effect::Settled {
-                source: *source,
-                claim: settle.claim,
-            },
-        });
-    }
-}
-
-/// Answers the claims of a batch that could not be written, and keeps the endings for later.
-fn refuse(batch: Vec<Op>, effects: &mut Vec<Effect>, waiting: &mut VecDeque<Op>) {
-    for op in batch {
-        match op {
-            Op::Claim { claim, source } => effects.push(Effect::Claimed {
-                source,
-                claim: claim.claim,
-                verdict: Verdict::Unavailable,
-            }),
-            settle @ Op::Settle { .. } => waiting.push_back(settle),
-        }
-    }
-}
-
 #[cfg(test)]
 mod tests {
+    use std::time::Duration;
+
     use proptest::prelude::*;
+    use store::Revision;
     use wire::ledger::Outcome;
 
     use super::*;
+    use crate::record::Record;
+    use crate::shard_name;
 
     const WALL: Wall = Duration::from_secs(1_000_000);
 
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -19,7 +19,8 @@
 //!
 //! # Modules
 //!
-//! - [`ledger`]: batching, lost answers, outages.
+//! - [`ledger`]: all shards of one instance.
+//! - `shard`: batching, lost answers, outages.
 //! - [`record`]: what stands in the store.
 
 use wire::Key;
@@ -27,6 +28,7 @@
 
 pub mod ledger;
 pub mod record;
+mod shard;
 
 pub use crate::ledger::Effect;
 pub use crate::ledger::Ledger;
