Count what was given up until the server shows it gone, and write events faster

In the daemon, each token's event was built as a JSON tree. A lost attempt is now also cancelled at its server.

--- a/crates/admit/src/cell.rs
+++ b/crates/admit/src/cell.rs
@@ -34,6 +34,9 @@
 pub const GRANT_LIFETIME: Duration = Duration::from_millis(1_500);
 /// Time after which the holder of a grant is asked what became of it.
 const UNSURE_TIME: Duration = Duration::from_millis(350);
+/// Time for which an attempt that its holder gave up still counts. After it the server's reports show
+/// whether it still runs.
+const GIVEN_UP_TIME: Duration = Duration::from_millis(500);
 /// Time after which a queued ask is forgotten unless it is repeated.
 pub const ASK_SILENCE: Duration = Duration::from_millis(2_500);
 /// Time for which the work of a holder that died counts as running. One that is heard of after its
@@ -122,6 +125,7 @@
     confirmed: bool,
     asked_after: Time,
     heard: Time,
+    given_up: Option<Time>,
 }
 
 impl Cell {
@@ -362,11 +366,17 @@
             .filter(|placed| !placed.confirmed)
             .map(|placed| (placed.asked_after + UNSURE_TIME).min(placed.since + GRANT_LIFETIME))
             .min();
+        let given_up = self
+            .placed
+            .values()
+            .filter_map(|placed| placed.given_up)
+            .min()
+            .map(|at| at + GIVEN_UP_TIME);
         let spaced = (!self.queue.is_empty())
             .then(|| self.last_grants.values().min())
             .flatten()
             .map(|last| *last + GRANT_SPACING);
-        [grants, self.queue.next_expiry(), spaced]
+        [grants, self.queue.next_expiry(), spaced, given_up]
             .into_iter()
             .flatten()
             .min()
@@ -435,6 +445,7 @@
             confirmed: false,
             asked_after: now,
             heard: now,
+            given_up: None,
         };
         self.last_grants.insert(name.clone(), now);
         self.prefixes.add(&name, &ask.work.prefixes);
@@ -540,6 +551,7 @@
                     confirmed: true,
                     asked_after: now,
                     heard: now,
+                    given_up: None,
                 });
                 placed.confirmed = true;
                 placed.heard = now;
@@ -568,6 +580,13 @@
     }
 
     fn end(&mut self, now: Time, attempt: AttemptId, end: End, generated: u32, first_ms: u32) {
+        if end == End::Cancelled {
+            // The server may still run it: it has not heard of it yet, or can't be reached.
+            if let Some(placed) = self.placed.get_mut(&attempt) {
+                placed.given_up.get_or_insert(now);
+            }
+            return;
+        }
         let Some(placed) = self.placed.remove(&attempt) else {
             return;
         };
@@ -613,11 +632,14 @@
         let gone = &self.gone;
         self.placed.retain(|_, placed| {
             let unused = !placed.confirmed && now.saturating_sub(placed.since) >= GRANT_LIFETIME;
+            let given_up = placed
+                .given_up
+                .is_some_and(|at| now.saturating_sub(at) >= GIVEN_UP_TIME);
             let unheard = now.saturating_sub(placed.heard) >= UNHEARD_TIME;
             let orphaned = gone
                 .get(&placed.holder)
                 .is_some_and(|at| placed.heard <= *at && now.saturating_sub(*at) >= ORPHAN_TIME);
-            !unused && !orphaned && !unheard
+            !unused && !orphaned && !unheard && !given_up
         });
         self.decay_rate(now);
     }
--- a/crates/admit/src/cell/room.rs
+++ b/crates/admit/src/cell/room.rs
@@ -86,7 +86,13 @@
         };
         let known = here.iter().filter(|placed| placed.since <= at).count();
         let shown = (load.running + load.waiting) as usize;
-        shown.saturating_sub(known + server.ends_since_report())
+        // On a cold server a place is lost for a moment rather than given twice.
+        let ended = if server.is_cold(&self.pool) {
+            0
+        } else {
+            server.ends_since_report()
+        };
+        shown.saturating_sub(known + ended)
     }
 
     /// Returns the share of a server's memory at its predicted peak, or `None` if it is too small.
--- a/crates/gateway/src/completion.rs
+++ b/crates/gateway/src/completion.rs
@@ -1,5 +1,7 @@
 //! Completions as callers write and read them.
 
+use std::fmt::Write;
+
 use compact_str::CompactString;
 use serde_json::Value;
 use serde_json::json;
@@ -100,26 +102,37 @@
         }
     }
 
-    /// One event with a token, or with the end.
-    pub(crate) fn event(&self, index: usize, token: Option<&str>) -> String {
-        let finish = if token.is_none() {
-            json!("stop")
-        } else {
-            Value::Null
-        };
-        let text = token.unwrap_or("");
-        let choice = if self.chat {
-            json!({"index": 0, "delta": {"content": text}, "finish_reason": finish})
+    /// Returns the events of tokens that follow each other, or of the end. What is the same in all of
+    /// them is written once.
+    pub(crate) fn events(&self, first: usize, tokens: &[CompactString]) -> String {
+        let (head, tail) = self.frame(&Value::Null);
+        let mut out = String::with_capacity(tokens.len() * (head.len() + tail.len() + 48));
+        for (offset, token) in tokens.iter().enumerate() {
+            let text = Value::from(token.as_str());
+            let _ = write!(out, "id: {}\ndata: {head}{text}{tail}\n\n", first + offset);
+        }
+        out
+    }
+
+    /// Returns the event of the end.
+    pub(crate) fn last(&self, index: usize) -> String {
+        let (head, tail) = self.frame(&json!("stop"));
+        format!("id: {index}\ndata: {head}\"\"{tail}\n\n")
+    }
+
+    /// Returns what stands before and after the text in an event's data.
+    fn frame(&self, finish: &Value) -> (String, String) {
+        let (id, model) = (json!(self.name), json!(self.model));
+        let object = self.object(true);
+        let head =
+            format!(r#"{{"id":{id},"object":"{object}","model":{model},"choices":[{{"index":0,"#);
+        if self.chat {
+            let head = head + r#""delta":{"content":"#;
+            (head, format!(r#"}},"finish_reason":{finish}}}]}}"#))
         } else {
-            json!({"index": 0, "text": text, "finish_reason": finish})
-        };
-        let body = json!({
-            "id": self.name,
-            "object": self.object(true),
-            "model": self.model,
-            "choices": [choice],
-        });
-        format!("id: {index}\ndata: {body}\n\n")
+            let head = head + r#""text":"#;
+            (head, format!(r#","finish_reason":{finish}}}]}}"#))
+        }
     }
 
     pub(crate) fn whole(&self, tokens: &[CompactString]) -> String {
@@ -147,6 +160,32 @@
 
     use super::*;
 
+    #[test]
+    fn events_are_json_whatever_the_tokens_hold() {
+        for chat in [false, true] {
+            let style = Style {
+                name: "n".into(),
+                model: "m\"odel".into(),
+                chat,
+            };
+            let text = style.events(7, &["a\"b\n".into()]) + &style.last(8);
+            let data: Vec<Value> = text
+                .lines()
+                .filter_map(|line| line.strip_prefix("data: "))
+                .map(|data| serde_json::from_str(data).expect("JSON"))
+                .collect();
+            let path = if chat {
+                "/choices/0/delta/content"
+            } else {
+                "/choices/0/text"
+            };
+            assert_eq!(data[0].pointer(path), Some(&json!("a\"b\n")));
+            assert_eq!(data[0]["choices"][0]["finish_reason"], Value::Null);
+            assert_eq!(data[1]["choices"][0]["finish_reason"], "stop");
+            assert!(text.starts_with("id: 7\n") && text.contains("\nid: 8\n"));
+        }
+    }
+
     #[test]
     fn errors_name_the_field() {
         let place = |body: &str, chat| parse_completion(body.as_bytes(), chat).unwrap_err().0;
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -49,7 +49,7 @@
     fn last(&self, ending: &Ending) -> String {
         match ending {
             Ending::Whole => {
-                let end = self.style.event(self.next, None);
+                let end = self.style.last(self.next);
                 format!("{end}data: [DONE]\n\n")
             }
             Ending::Plain { .. } => "data: [DONE]\n\n".into(),
@@ -77,10 +77,7 @@
         loop {
             let text = match self.reader.answer.look(self.next) {
                 Look::Tokens(first, tokens) => {
-                    let numbered = tokens.iter().enumerate();
-                    let events: String = numbered
-                        .map(|(index, token)| self.style.event(first + index, Some(token)))
-                        .collect();
+                    let events = self.style.events(first, &tokens);
                     self.next = first + tokens.len();
                     events
                 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -450,6 +450,13 @@
     }
 
     async fn lose(&mut self, id: AttemptId, crashed: bool) {
+        if let Some(attempt) = self.attempt.as_ref().filter(|_| !crashed) {
+            // It may still run there for nobody.
+            let client = self.shared.client.clone();
+            if matches!(self.payload, Payload::Prompt { .. }) {
+                tokio::spawn(backend::cancel(client, attempt.address, id));
+            }
+        }
         let delivered = self.stream.delivered();
         self.drop_attempt(id, Event::Lost { crashed, delivered })
             .await;
--- a/crates/soak/src/verdict.rs
+++ b/crates/soak/src/verdict.rs
@@ -174,7 +174,7 @@
     let untold: Vec<u64> = world
         .callers
         .iter()
-        .filter(|(_, caller)| !caller.answered && caller.told.is_empty())
+        .filter(|(_, caller)| !caller.answered && caller.told.is_empty() && !caller.gone)
         .map(|(number, _)| *number)
         .collect();
     if !untold.is_empty() {
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -174,6 +174,8 @@
     pub told: Vec<String>,
     /// Whether it has its whole answer.
     pub answered: bool,
+    /// Whether it has gone away.
+    pub gone: bool,
     /// Whether it was told by a refusal, each time, that it was not run.
     pub only_refusals: bool,
 }
--- a/crates/soak/src/world/load.rs
+++ b/crates/soak/src/world/load.rs
@@ -1,5 +1,7 @@
 //! Callers and what they ask for.
 
+use std::time::Duration;
+
 use standin::token::Marker;
 use wigeon_core::Input;
 use wigeon_core::Outcome;
@@ -38,6 +40,7 @@
             sends: 0,
             told: Vec::new(),
             answered: false,
+            gone: false,
             only_refusals: true,
         };
         self.callers.insert(number, caller);
@@ -46,10 +49,24 @@
             // The same key through two instances at once.
             self.send_request(number);
         }
+        if self.plan.trouble && self.rng.f64() < 0.03 {
+            self.go_away(number);
+        }
         let wait = self.plan.pause.mul_f64(0.2 + 1.6 * self.rng.f64());
         self.schedule(wait, Action::Load);
     }
 
+    /// Lets a caller go away after a while, whatever its request is doing then.
+    fn go_away(&mut self, number: u64) {
+        let caller = self.callers.get_mut(&number).expect("the caller is known");
+        caller.gone = true;
+        let (node, life) = caller.node;
+        let id = number | u64::from(caller.sends) << 32;
+        let delay = Duration::from_millis(self.rng.u64(0..900));
+        let input = Box::new(Input::Gone(id));
+        self.schedule(delay, Action::Handle { node, life, input });
+    }
+
     pub(super) fn draw_route(&mut self) -> &'static str {
         if let Some(marks) = self.plan.marks {
             return if self.rng.f64() < marks {
@@ -96,7 +113,7 @@
             Outcome::Refused(_) => {}
         }
         caller.told.push(format!("{outcome:?}"));
-        let again = !caller.answered && caller.sends < 4 && !caller.marker.poison;
+        let again = !caller.gone && !caller.answered && caller.sends < 4 && !caller.marker.poison;
         self.note(format!("request {number:x} is told {outcome:?}"));
         if let Outcome::Refused(refusal) = outcome {
             crate::verdict::check_refusal(self, number, request, refusal);
--- a/crates/soak/src/world/node.rs
+++ b/crates/soak/src/world/node.rs
@@ -329,6 +329,7 @@
             .callers
             .iter()
             .filter(|(_, caller)| caller.node == (index, life - 1) && !caller.answered)
+            .filter(|(_, caller)| !caller.gone)
             .filter(|(_, caller)| !caller.marker.poison)
             .map(|(number, _)| *number)
             .collect();
