--- a/crates/admit/src/cell.rs
+++ b/crates/admit/src/cell.rs
@@ -604,7 +604,11 @@
                 server.prove(now, placed.since, first_token, &self.pool);
             }
             End::Refused => server.fail(now, false, &self.pool),
-            End::Unreachable | End::Crashed => server.fail(now, true, &self.pool),
+            End::Crashed => {
+                server.note_crash(now);
+                server.fail(now, true, &self.pool);
+            }
+            End::Unreachable => server.fail(now, true, &self.pool),
             End::Cancelled | End::Unused => {}
         }
     }
@@ -817,6 +821,29 @@
         assert_eq!(grants(&cell.ask(START, 1, suspect(2), SHARE)), 0);
     }
 
+    #[test]
+    fn suspects_wait_for_a_server_that_has_not_crashed_lately() {
+        let mut cell = cell(2);
+        let first = cell.ask(START, 1, ask(1), SHARE);
+        let Verdict::Grant(grant) = &first[0].verdict else {
+            panic!("there is room");
+        };
+        cell.report(START, 1, &ended(1, End::Crashed));
+        let later = START + Duration::from_secs(10);
+        for attempt in 2..4 {
+            let suspect = Ask {
+                suspect: true,
+                ..ask(attempt)
+            };
+            let replies = cell.ask(later, 1, suspect, SHARE);
+            let on_crashed = replies.iter().any(|reply| {
+                matches!(&reply.verdict, Verdict::Grant(found) if found.server == grant.server)
+            });
+            assert!(!on_crashed);
+        }
+        assert_eq!(cell.waiting(), 1, "one has the other server, one waits");
+    }
+
     proptest! {
         #[test]
         fn limits_hold_whatever_comes(
--- a/crates/admit/src/cell/room.rs
+++ b/crates/admit/src/cell/room.rs
@@ -21,6 +21,14 @@
 /// Time between two grants on an engine that is at work.
 pub(super) const GRANT_SPACING: Duration = Duration::from_millis(25);
 
+/// Tokens after which a request under suspicion no longer keeps others off its server: one that crashes
+/// servers has mostly done so by then.
+const TRIAL_TOKENS: u32 = 32;
+
+fn is_on_trial(placed: &Placed) -> bool {
+    placed.suspect && placed.generated < TRIAL_TOKENS
+}
+
 impl Cell {
     /// Returns the server that runs an ask best, among those that have room for it.
     pub(super) fn choose(&mut self, now: Time, ask: &Ask) -> Option<Name> {
@@ -46,8 +54,11 @@
         if !server.is_open(now) || !self.may_judge(now, server) {
             return None;
         }
+        if ask.suspect && server.is_frail(now) && self.has_sound_server(now) {
+            return None;
+        }
         let here: Vec<&Placed> = self.placed.values().filter(|p| p.server == *name).collect();
-        if ask.suspect && here.iter().any(|placed| placed.suspect) {
+        if ask.suspect && here.iter().any(|placed| is_on_trial(placed)) {
             return None;
         }
         let count = here.len() + self.unexplained(server, &here);
@@ -63,6 +74,13 @@
         Some(slots.max(memory))
     }
 
+    /// A server that crashes by itself would add to the suspicion of an innocent request, which waits
+    /// for one that has not crashed lately, where there is any.
+    fn has_sound_server(&self, now: Time) -> bool {
+        let mut servers = self.servers.values();
+        servers.any(|server| server.is_open(now) && !server.is_frail(now))
+    }
+
     /// The processing of a prompt delays the next token of all that run on the server, so two prompts
     /// are kept out of one step.
     fn is_spaced(&self, now: Time, name: &Name) -> bool {
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -20,6 +20,9 @@
 /// Most asks of one organisation that wait in one cell.
 const ORGANISATION_MAX: usize = 1_024;
 
+/// Asks of one organisation that are offered a place at a time.
+const OFFERED_MAX: usize = 8;
+
 /// One ask that waits.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Waiting {
@@ -57,6 +60,13 @@
     waiting: VecDeque<Waiting>,
 }
 
+impl Line {
+    /// Returns how many asks wait for any place, and not for a server of their own.
+    fn usual(&self) -> usize {
+        self.waiting.iter().filter(|one| !one.ask.suspect).count()
+    }
+}
+
 impl Queue {
     /// Returns how many asks wait.
     pub fn len(&self) -> usize {
@@ -142,28 +152,25 @@
         Some(waiting)
     }
 
-    /// Returns how many asks are served before a new one of this class and organisation, by the
+    /// Returns how many usual asks are served before a new one of this class and organisation, by the
     /// shares that the organisations now have.
     pub fn ahead(&self, level: u8, organisation: &str, weight: f64) -> f64 {
         let urgent: usize = self
             .classes
             .range(..level)
             .flat_map(|(_, class)| class.organisations.values())
-            .map(|line| line.waiting.len())
+            .map(Line::usual)
             .sum();
         let Some(class) = self.classes.get(&level) else {
             return urgent as f64;
         };
-        let own = class
-            .organisations
-            .get(organisation)
-            .map_or(0, |line| line.waiting.len());
+        let own = class.organisations.get(organisation).map_or(0, Line::usual);
         let rounds = (own as f64 + 1.0) / weight;
         let others: f64 = class
             .organisations
             .iter()
             .filter(|(name, _)| *name != organisation)
-            .map(|(_, line)| (rounds * line.weight).min(line.waiting.len() as f64))
+            .map(|(_, line)| (rounds * line.weight).min(line.usual() as f64))
             .sum();
         urgent as f64 + own as f64 + others
     }
@@ -180,7 +187,8 @@
             .flat_map(|line| &line.waiting)
     }
 
-    /// The oldest ask of each organisation, by class and virtual time.
+    /// The oldest few asks of each organisation, by class and virtual time. One that waits for a server
+    /// of its own does not hold up those behind it.
     fn in_turn(&self) -> impl Iterator<Item = &Waiting> {
         self.classes.values().flat_map(|class| {
             let mut lines: Vec<&Line> = class
@@ -189,7 +197,9 @@
                 .filter(|line| !line.waiting.is_empty())
                 .collect();
             lines.sort_by(|a, b| a.time.total_cmp(&b.time));
-            lines.into_iter().filter_map(|line| line.waiting.front())
+            lines
+                .into_iter()
+                .flat_map(|line| line.waiting.iter().take(OFFERED_MAX))
         })
     }
 
@@ -295,6 +305,18 @@
         assert!((29..=31).contains(&heavy), "{heavy}");
     }
 
+    #[test]
+    fn suspect_that_waits_does_not_hold_up_its_organisation() {
+        let mut queue = Queue::default();
+        let mut suspect = waiting(1, "a", 1, 1.0);
+        suspect.ask.suspect = true;
+        queue.push(suspect);
+        assert!(queue.ahead(1, "a", 1.0) < f64::EPSILON);
+        queue.push(waiting(2, "a", 1, 1.0));
+        let taken = queue.take_first(|one| !one.ask.suspect);
+        assert_eq!(taken.map(|one| one.ask.attempt), Some(2));
+    }
+
     #[test]
     fn earlier_class_is_served_first() {
         let mut queue = Queue::default();
--- a/crates/admit/src/server.rs
+++ b/crates/admit/src/server.rs
@@ -23,6 +23,8 @@
 const REFUSED_TIME: Duration = Duration::from_millis(500);
 /// Time for which a server that could not be reached gets none.
 const UNREACHABLE_TIME: Duration = Duration::from_millis(1_500);
+/// Time after a crash in which a server is not trusted with requests under suspicion.
+const FRAIL_TIME: Duration = Duration::from_secs(60);
 /// Lag of a report behind the state that it shows.
 const REPORT_LAG: Duration = Duration::from_millis(300);
 /// Ends of requests that are remembered.
@@ -82,6 +84,7 @@
     closed_until: Time,
     leaving: bool,
     lost_sight: bool,
+    crashed_at: Option<Time>,
     cold_since: Time,
     ends: VecDeque<Time>,
 }
@@ -100,6 +103,7 @@
             closed_until: Time::ZERO,
             leaving: false,
             lost_sight: false,
+            crashed_at: None,
             cold_since: Time::ZERO,
             ends: VecDeque::new(),
         }
@@ -219,6 +223,17 @@
         self.start_cold(pool);
     }
 
+    /// Notes that it lost what it ran.
+    pub fn note_crash(&mut self, now: Time) {
+        self.crashed_at = Some(now);
+    }
+
+    /// Returns whether it lost what it ran not long ago.
+    pub fn is_frail(&self, now: Time) -> bool {
+        self.crashed_at
+            .is_some_and(|at| now.saturating_sub(at) < FRAIL_TIME)
+    }
+
     /// Notes that it is about to go.
     pub fn leave(&mut self) {
         self.leaving = true;
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -92,6 +92,8 @@
     pub servers: Vec<Server>,
     /// The instances, with the settings that they were started with.
     pub nodes: Vec<(Settings, Option<Node>)>,
+    /// Attempts and bytes of frames of the instances that were replaced.
+    pub retired: (u64, u64),
     /// Origin of the times in all records.
     pub origin: Instant,
     clock: Arc<dyn Clock>,
@@ -112,6 +114,7 @@
             platform,
             servers,
             nodes: Vec::new(),
+            retired: (0, 0),
             origin,
             clock: Arc::new(clock::System::new()),
             client: http::client(true),
@@ -206,11 +209,14 @@
         let Some(node) = node.take() else {
             return Ok(());
         };
+        let metrics = node.metrics().clone();
         if graceful {
             node.shut_down().await;
         } else {
             node.kill().await;
         }
+        self.retired.0 += metrics.attempts();
+        self.retired.1 += metrics.bytes_sent();
         let mut tries = 0;
         loop {
             match Node::start(settings.clone(), self.clock.clone()).await {
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -206,8 +206,16 @@
     Traffic {
         reads: counts.reads,
         writes: counts.writes,
-        bytes: nodes.iter().map(|node| node.metrics().bytes_sent()).sum(),
-        attempts: nodes.iter().map(|node| node.metrics().attempts()).sum(),
+        bytes: fleet.retired.1
+            + nodes
+                .iter()
+                .map(|node| node.metrics().bytes_sent())
+                .sum::<u64>(),
+        attempts: fleet.retired.0
+            + nodes
+                .iter()
+                .map(|node| node.metrics().attempts())
+                .sum::<u64>(),
         instances: nodes.len(),
     }
 }
