Give joined requests a way around a home that is gone, and write down the measures

What stood twice (a pool's label, the head of a caller's request, the answer to a probe) is one piece now.

--- a/crates/conf/src/schema.rs
+++ b/crates/conf/src/schema.rs
@@ -119,6 +119,17 @@
     }
 }
 
+impl Pool {
+    /// Returns the label that the platform's list gives to the servers of this pool, which has a name.
+    pub fn label<'a>(&'a self, name: &'a str) -> &'a str {
+        if self.selector.is_empty() {
+            name
+        } else {
+            &self.selector
+        }
+    }
+}
+
 /// How an answer reaches its caller.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/core/src/claims.rs
+++ b/crates/core/src/claims.rs
@@ -74,6 +74,11 @@
                 claiming.tries += 1;
                 claiming.tries
             }
+            // A home that has just gone does not answer; the ledger here can read for itself.
+            Phase::Joining { tries, .. } => {
+                *tries += 1;
+                *tries
+            }
             _ => 1,
         };
         let retention = job.route.retention_s;
@@ -175,6 +180,7 @@
         job.phase = Phase::Joining {
             owner,
             missed: !alive,
+            tries: 0,
         };
         let pause = if alive { JOIN_PERIOD } else { JOIN_PERIOD * 10 };
         self.set_due(id, self.now + pause);
--- a/crates/core/src/home.rs
+++ b/crates/core/src/home.rs
@@ -215,15 +215,11 @@
         };
         let own = self.own_dc();
         let out = !route::choice::in_service(self.config(), &own);
-        let label = if pool.selector.is_empty() {
-            name
-        } else {
-            &pool.selector
-        };
+        let label = pool.label(name);
         let listings: Vec<Listing> = self
             .servers
             .values()
-            .filter(|server| server.label == *label && server.data_centre == own)
+            .filter(|server| server.label == label && server.data_centre == own)
             .map(|server| Listing {
                 name: server.name.clone(),
                 address: server.address,
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -23,6 +23,8 @@
         owner: InstanceId,
         /// Whether that instance was not found alive the last time.
         missed: bool,
+        /// Times that the home of the shard was asked without an answer.
+        tries: u32,
     },
     /// It asks for a place.
     Seeking(Seeking),
--- a/crates/core/src/orders.rs
+++ b/crates/core/src/orders.rs
@@ -58,15 +58,11 @@
     }
 
     fn engines(&self, name: &Name, pool: &conf::Pool) -> Vec<Engine> {
-        let label = if pool.selector.is_empty() {
-            name
-        } else {
-            &pool.selector
-        };
+        let label = pool.label(name);
         let own = self.own_dc();
         self.servers
             .values()
-            .filter(|server| server.label == *label && server.data_centre == own)
+            .filter(|server| server.label == label && server.data_centre == own)
             .filter_map(|server| self.config.setups.get(&server.name))
             .cloned()
             .collect()
--- a/crates/core/src/seek.rs
+++ b/crates/core/src/seek.rs
@@ -197,11 +197,7 @@
         let Some(found) = config.pools.get(pool) else {
             return sites;
         };
-        let label = if found.selector.is_empty() {
-            pool
-        } else {
-            found.selector.as_str()
-        };
+        let label = found.label(pool);
         for server in self.servers.values().filter(|server| server.label == label) {
             let site = sites.entry(server.data_centre.clone()).or_default();
             if self.may_take_work(&server.data_centre, &server.name) {
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -174,19 +174,39 @@
     }
 }
 
+/// What the header of a request says.
+struct Head {
+    config: Arc<Config>,
+    organisation: CompactString,
+    key: Option<String>,
+}
+
+fn read_head(
+    callers: &Callers,
+    request: &hyper::Request<Incoming>,
+) -> Result<Head, Box<Response<Body>>> {
+    let config = callers.status.borrow().config.clone();
+    let Some(organisation) = organisation(&config, request) else {
+        return Err(Box::new(unknown_organisation()));
+    };
+    let key = idempotency_key(request)?;
+    Ok(Head {
+        config,
+        organisation,
+        key,
+    })
+}
+
 async fn complete(
     callers: Arc<Callers>,
     request: hyper::Request<Incoming>,
     chat: bool,
 ) -> Response<Body> {
-    let config = callers.status.borrow().config.clone();
-    let Some(organisation) = organisation(&config, &request) else {
-        return unknown_organisation();
-    };
-    let key = match idempotency_key(&request) {
-        Ok(key) => key,
+    let head = match read_head(&callers, &request) {
+        Ok(head) => head,
         Err(response) => return *response,
     };
+    let organisation = &head.organisation;
     let body = match http::read_body(request.into_body()).await {
         Ok(body) => body,
         Err(error) => return body_problem(error),
@@ -195,11 +215,17 @@
         Ok(asked) => asked,
         Err((place, text)) => return problem(StatusCode::BAD_REQUEST, place, &text),
     };
-    let Some(route) = allowed_route(&config, &asked.route, &organisation, Service::Engine) else {
+    let Some(route) = allowed_route(&head.config, &asked.route, organisation, Service::Engine)
+    else {
         return unknown_route(&asked.route);
     };
-    let request = new_request(&organisation, &asked.route, key.as_deref(), &asked.prompt)
-        .with_limit(asked.limit);
+    let request = new_request(
+        organisation,
+        &asked.route,
+        head.key.as_deref(),
+        &asked.prompt,
+    )
+    .with_limit(asked.limit);
     let payload = Payload::Prompt {
         text: asked.prompt.as_str().into(),
     };
@@ -283,18 +309,15 @@
 }
 
 async fn call(callers: Arc<Callers>, request: hyper::Request<Incoming>) -> Response<Body> {
-    let config = callers.status.borrow().config.clone();
-    let Some(organisation) = organisation(&config, &request) else {
-        return unknown_organisation();
-    };
-    let key = match idempotency_key(&request) {
-        Ok(key) => key,
+    let head = match read_head(&callers, &request) {
+        Ok(head) => head,
         Err(response) => return *response,
     };
+    let organisation = &head.organisation;
     let after = request.uri().path().trim_start_matches("/v1/call/");
     let (name, rest) = after.split_once('/').unwrap_or((after, ""));
     let (name, path) = (CompactString::from(name), format!("/{rest}"));
-    let Some(route) = allowed_route(&config, &name, &organisation, Service::Plain) else {
+    let Some(route) = allowed_route(&head.config, &name, organisation, Service::Plain) else {
         return unknown_route(&name);
     };
     let media = request
@@ -308,7 +331,7 @@
         Err(error) => return body_problem(error),
     };
     let text = String::from_utf8_lossy(&body).into_owned();
-    let request = new_request(&organisation, &name, key.as_deref(), &text).0;
+    let request = new_request(organisation, &name, head.key.as_deref(), &text).0;
     let payload = Payload::Call { path, media, body };
     let id = request.id;
     let answer = begin(&callers, request, payload, route);
--- a/crates/load/src/plot.rs
+++ b/crates/load/src/plot.rs
@@ -54,23 +54,28 @@
         .collect();
     let starts = start_series(runs[0]);
     let marks = &event_marks(runs[0]);
+    let all = gaps.iter().chain(&stalls).chain(&starts);
+    let times = all.flat_map(|(_, points)| points.iter().map(|point| point.0));
+    let right = times.fold(1.0, f64::max);
     chart(
         &parts[0],
         "Time between tokens, 95 in 100 (ms)",
         &gaps,
         marks,
+        right,
     )?;
     chart(
         &parts[1],
         "Streams standing still (seconds of stall in each second)",
         &stalls,
         marks,
+        right,
     )?;
     let title = format!(
         "Generations started a second, by data centre ({})",
         name(runs[0])
     );
-    chart(&parts[2], &title, &starts, marks)?;
+    chart(&parts[2], &title, &starts, marks, right)?;
     area.present()?;
     Ok(())
 }
@@ -165,9 +170,9 @@
     title: &str,
     series: &[Series],
     events: &[(f64, String)],
+    right: f64,
 ) -> Result<(), Box<dyn error::Error>> {
     let points = || series.iter().flat_map(|(_, points)| points.iter());
-    let right = points().map(|point| point.0).fold(1.0, f64::max);
     let top = points().map(|point| point.1).fold(1.0, f64::max) * 1.15;
     let mut chart = ChartBuilder::on(area)
         .caption(title, ("sans-serif", 17))
--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -255,20 +255,9 @@
     ) -> Vec<Send> {
         let before = self.peers.get(&from).map(|peer| peer.rumour.clone());
         self.hear(now, from, gossip);
-        let Some(entry) = self.entry(from) else {
-            return Vec::new();
-        };
-        let address = entry.peers;
-        let mut gossip = self.gossip();
         // Whoever was thought dead must hear of it to deny it.
-        gossip
-            .rumours
-            .extend(before.filter(|rumour| rumour.state > State::Leaving));
-        vec![Send {
-            address,
-            to: from,
-            body: Body::Ack { probe, gossip },
-        }]
+        let denied = before.filter(|rumour| rumour.state > State::Leaving);
+        self.ack(from, probe, denied)
     }
 
     /// Takes the answer to a probe, and passes it on if the probe was for another instance.
@@ -290,22 +279,18 @@
         let target = found.target;
         self.probes.remove(&probe);
         self.clear(now, target);
-        let Some((asker, number)) = asker else {
-            return Vec::new();
-        };
-        let Some(entry) = self.entry(asker) else {
-            return Vec::new();
-        };
-        let address = entry.peers;
-        let gossip = self.gossip();
-        vec![Send {
-            address,
-            to: asker,
-            body: Body::Ack {
-                probe: number,
-                gossip,
-            },
-        }]
+        match asker {
+            Some((asker, number)) => self.ack(asker, number, None),
+            None => Vec::new(),
+        }
+    }
+
+    /// Returns the answer to a probe of an instance, with one more rumour than is due.
+    fn ack(&mut self, to: InstanceId, probe: u64, more: Option<Rumour>) -> Vec<Send> {
+        let mut gossip = self.gossip();
+        gossip.rumours.extend(more);
+        let body = Body::Ack { probe, gossip };
+        self.send(to, body).into_iter().collect()
     }
 
     /// Probes a third instance for another one.
