Call one piece where the logic stood twice, and drop what nothing used

Cause: read as a whole, the ledger rebuilt a map of all waiting claims at every input only to learn whom it had told that a key is in use; a server's report was taken by every cell of an instance, so cells kept prefix indexes of servers of other pools; the instances that run were listed in four places; an attempt was taken out of a report's item in two; what a backend server has begun was gathered in three; three futures were joined by hand; and functions, fields and a flag had no use. The flag was meant for a check that was missing: that nothing ran for a caller of whom every sending was refused. It is checked now.

--- a/crates/admit/src/cell.rs
+++ b/crates/admit/src/cell.rs
@@ -184,6 +184,11 @@
         self.servers.values()
     }
 
+    /// Returns whether a server belongs to the pool.
+    pub fn has(&self, server: &str) -> bool {
+        self.servers.contains_key(server)
+    }
+
     /// Returns how many attempts have a place on a server.
     pub fn count(&self, server: &str) -> usize {
         self.placed.values().filter(|p| p.server == server).count()
@@ -616,15 +621,7 @@
     /// What a full report does not list does not run, unless it was granted so lately that the
     /// report may have crossed the grant.
     fn drop_unlisted(&mut self, now: Time, holder: InstanceId, report: &Report) {
-        let listed: BTreeSet<AttemptId> = report
-            .items
-            .iter()
-            .map(|item| match item {
-                Item::Running { attempt, .. }
-                | Item::Progress { attempt, .. }
-                | Item::Ended { attempt, .. } => *attempt,
-            })
-            .collect();
+        let listed: BTreeSet<AttemptId> = report.items.iter().map(Item::attempt).collect();
         self.placed.retain(|attempt, placed| {
             placed.holder != holder
                 || listed.contains(attempt)
--- a/crates/core/src/claims.rs
+++ b/crates/core/src/claims.rs
@@ -16,7 +16,6 @@
 
 use crate::instance::Instance;
 use crate::instance::Owner;
-use crate::job::Claiming;
 use crate::job::Phase;
 use crate::outcome::Outcome;
 use crate::outcome::Reason;
@@ -241,10 +240,3 @@
         }
     }
 }
-
-impl Claiming {
-    /// Returns whether the home of the shard was given up.
-    pub fn is_by_itself(&self) -> bool {
-        self.tries > HOME_TRIES
-    }
-}
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -221,14 +221,7 @@
         let Ok(json) = serde_json::to_vec(&changes) else {
             return;
         };
-        let own = self.id();
-        let mut others: Vec<InstanceId> = self
-            .members
-            .rumours()
-            .filter(|rumour| rumour.state != wire::gossip::State::Dead)
-            .map(|rumour| rumour.entry.id)
-            .filter(|id| *id != own)
-            .collect();
+        let mut others: Vec<InstanceId> = self.members.running_others().collect();
         self.rng.shuffle(&mut others);
         for to in others.into_iter().take(PUSH_FANOUT) {
             self.send(to, Body::Changes { json: json.clone() });
--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -9,7 +9,6 @@
 use wire::Frame;
 use wire::InstanceId;
 use wire::gossip::Gossip;
-use wire::gossip::State;
 use wire::gossip::Strike;
 
 use crate::instance::Instance;
@@ -106,13 +105,7 @@
             server,
             age_s: 0,
         }];
-        let own = self.id();
-        let others: Vec<InstanceId> = self
-            .members
-            .rumours()
-            .filter(|rumour| rumour.state != State::Dead && rumour.entry.id != own)
-            .map(|rumour| rumour.entry.id)
-            .collect();
+        let others: Vec<InstanceId> = self.members.running_others().collect();
         // Nobody confirms it, so it goes twice.
         for to in others.iter().chain(&others) {
             let strikes = strikes.clone();
--- a/crates/core/src/home.rs
+++ b/crates/core/src/home.rs
@@ -385,7 +385,8 @@
             self.note_leaving(server, report.load.boot, self.now);
         }
         let mut replies = Vec::new();
-        for cell in self.home.cells.values_mut() {
+        let cells = self.home.cells.values_mut();
+        for cell in cells.filter(|cell| cell.has(server)) {
             cell.load(self.now, server, report.load);
             let events = &report.events;
             cell.cache(server, report.load.boot, report.first_event, events);
@@ -663,12 +664,7 @@
 fn merge_progress(items: Vec<Item>) -> Vec<Item> {
     let mut newest: BTreeMap<AttemptId, Item> = BTreeMap::new();
     for item in items {
-        let attempt = match &item {
-            Item::Running { attempt, .. }
-            | Item::Progress { attempt, .. }
-            | Item::Ended { attempt, .. } => *attempt,
-        };
-        newest.insert(attempt, item);
+        newest.insert(item.attempt(), item);
     }
     newest.into_values().collect()
 }
--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -22,7 +22,6 @@
 use wire::Name;
 use wire::RequestId;
 use wire::gossip::Entry;
-use wire::gossip::State;
 
 use crate::baseline::Baseline;
 use crate::claims::Endings;
@@ -214,9 +213,8 @@
     /// Returns how all other instances that run are found.
     pub fn others(&self) -> Vec<Entry> {
         self.members
-            .rumours()
-            .filter(|rumour| rumour.state != State::Dead && rumour.entry.id != self.id())
-            .map(|rumour| rumour.entry.clone())
+            .running_others()
+            .filter_map(|id| self.entry(id))
             .collect()
     }
 
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -10,7 +10,6 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use conf::Config;
-use conf::Delivery;
 use conf::Route;
 use conf::Service;
 use http_body_util::BodyExt;
@@ -219,18 +218,18 @@
     else {
         return unknown_route(&asked.route);
     };
-    let request = new_request(
+    let mut request = new_request(
         organisation,
         &asked.route,
         head.key.as_deref(),
         &asked.prompt,
-    )
-    .with_limit(asked.limit);
+    );
+    request.limit = asked.limit;
     let payload = Payload::Prompt {
         text: asked.prompt.as_str().into(),
     };
-    let id = request.0.id;
-    let answer = begin(&callers, request.0, payload, route);
+    let id = request.id;
+    let answer = begin(&callers, request, payload, route);
     let reader = Reader::new(&callers, id, answer);
     let name = answer_name(&callers, id);
     let style = Style {
@@ -262,23 +261,13 @@
     (allowed && pool.service == service).then(|| route.clone())
 }
 
-/// A request on its way to the decider.
-struct NewRequest(Request);
-
-impl NewRequest {
-    fn with_limit(mut self, limit: Option<u32>) -> NewRequest {
-        self.0.limit = limit;
-        self
-    }
-}
-
-fn new_request(organisation: &str, route: &str, key: Option<&str>, text: &str) -> NewRequest {
+fn new_request(organisation: &str, route: &str, key: Option<&str>, text: &str) -> Request {
     let fingerprint = match key {
         Some(key) => once::hash_key(organisation, route, key) as u64,
         None => xxhash_rust::xxh3::xxh3_64(format!("{organisation}\0{route}\0{text}").as_bytes()),
     };
     let tokens = text.chars().count().div_ceil(TOKEN_CHARS);
-    NewRequest(Request {
+    Request {
         id: fastrand::u64(1..),
         organisation: organisation.into(),
         route: route.into(),
@@ -287,7 +276,7 @@
         prompt: u32::try_from(tokens).unwrap_or(u32::MAX),
         prefixes: prefixes(text),
         limit: None,
-    })
+    }
 }
 
 /// Starts the relay of a request.
@@ -331,7 +320,7 @@
         Err(error) => return body_problem(error),
     };
     let text = String::from_utf8_lossy(&body).into_owned();
-    let request = new_request(organisation, &name, head.key.as_deref(), &text).0;
+    let request = new_request(organisation, &name, head.key.as_deref(), &text);
     let payload = Payload::Call { path, media, body };
     let id = request.id;
     let answer = begin(&callers, request, payload, route);
@@ -596,11 +585,6 @@
     Response::from_parts(parts, BodyExt::boxed(body))
 }
 
-/// Returns whether a route's answers are shown token by token.
-pub fn is_streamed(route: &Route) -> bool {
-    route.delivery == Delivery::Stream
-}
-
 #[cfg(test)]
 mod tests {
     use proptest::prelude::*;
--- a/crates/gateway/src/decider.rs
+++ b/crates/gateway/src/decider.rs
@@ -149,7 +149,6 @@
     instance: Instance,
     links: Arc<Links>,
     replies: HashMap<u64, oneshot::Sender<CommandReply>>,
-    calls: u64,
     restarted: bool,
 }
 
@@ -160,7 +159,6 @@
             instance,
             links,
             replies: HashMap::new(),
-            calls: 0,
             restarted,
         }
     }
@@ -251,7 +249,6 @@
                 .metrics
                 .set_violations(violation.as_str(), *count);
         }
-        self.calls = self.instance.store_calls();
     }
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -16,7 +16,6 @@
 use compact_str::CompactString;
 use conf::Delivery;
 use conf::Route;
-use conf::Service;
 use stream::Pace;
 use stream::Verdict;
 use tokio::sync::mpsc;
@@ -569,11 +568,3 @@
     }
     std::future::pending().await
 }
-
-/// Returns whether a route's service fits what a caller asks for.
-pub fn fits(service: Service, payload: &Payload) -> bool {
-    matches!(
-        (service, payload),
-        (Service::Engine, Payload::Prompt { .. }) | (Service::Plain, Payload::Call { .. })
-    )
-}
--- a/crates/length/src/lib.rs
+++ b/crates/length/src/lib.rs
@@ -96,13 +96,6 @@
         known.unwrap_or_else(|| hint.saturating_sub(generated).max(beyond).max(16))
     }
 
-    /// Returns the mean length of a route's generations, if any were seen.
-    pub fn mean(&self, route: &str) -> Option<u32> {
-        let lengths = self.routes.get(route)?;
-        let histogram = lengths.current();
-        (histogram.total > 0.0).then(|| (histogram.sum / histogram.total) as u32)
-    }
-
     fn forget_thinnest(&mut self) {
         let thinnest = self
             .pairs
--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -67,8 +67,6 @@
     pub reason: CompactString,
     /// Its tokens with the times at which they came.
     pub tokens: Vec<(Duration, CompactString)>,
-    /// Whether the answer is a recorded one.
-    pub recorded: bool,
     /// Time until the end.
     pub took: Duration,
 }
@@ -100,7 +98,6 @@
         end: End::Cut,
         reason: CompactString::default(),
         tokens: Vec::new(),
-        recorded: false,
         took: Duration::ZERO,
     };
     let reading = read(client, address, &mut seen);
--- a/crates/load/src/deed.rs
+++ b/crates/load/src/deed.rs
@@ -279,12 +279,12 @@
             format!("take out data-centre {centre}"),
             format!("bring back data-centre {centre}"),
         ];
-        let sent = lines
-            .iter()
-            .enumerate()
-            .map(|(index, line)| command(shared, index % 3, line));
         // Some of them are refused, which is their right.
-        let _ = futures_join(sent.collect()).await;
+        let _ = tokio::join!(
+            command(shared, 0, &lines[0]),
+            command(shared, 1, &lines[1]),
+            command(shared, 2, &lines[2]),
+        );
         round += 1;
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
@@ -298,28 +298,6 @@
     }
 }
 
-/// Waits for all of a few futures at once.
-async fn futures_join<T>(futures: Vec<impl Future<Output = T>>) -> Vec<T> {
-    let mut pinned: Vec<_> = futures.into_iter().map(Box::pin).collect();
-    let mut results: Vec<Option<T>> = pinned.iter().map(|_| None).collect();
-    std::future::poll_fn(|context| {
-        for (future, result) in pinned.iter_mut().zip(&mut results) {
-            if result.is_none()
-                && let std::task::Poll::Ready(value) = future.as_mut().poll(context)
-            {
-                *result = Some(value);
-            }
-        }
-        if results.iter().all(Option::is_some) {
-            std::task::Poll::Ready(())
-        } else {
-            std::task::Poll::Pending
-        }
-    })
-    .await;
-    results.into_iter().flatten().collect()
-}
-
 async fn rolling_restart(shared: &Arc<Shared>) -> anyhow::Result<()> {
     let count = shared.fleet.lock().await.nodes.len();
     for index in 0..count {
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -74,6 +74,20 @@
     Plain(Arc<PlainServer>),
 }
 
+impl Backend {
+    /// Returns the requests that it has begun, in order.
+    pub fn begun(&self) -> Vec<u64> {
+        match self {
+            Backend::Engine(engine) => {
+                engine.with(|engine| engine.record.starts.iter().map(|start| start.1).collect())
+            }
+            Backend::Plain(plain) => {
+                plain.with(|plain| plain.record.starts.iter().map(|start| start.1).collect())
+            }
+        }
+    }
+}
+
 /// A backend server with its place.
 pub struct Server {
     /// Its name.
--- a/crates/load/src/judge.rs
+++ b/crates/load/src/judge.rs
@@ -243,7 +243,6 @@
             end,
             reason: CompactString::default(),
             tokens,
-            recorded: false,
             took: Duration::ZERO,
         }
     }
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -258,7 +258,7 @@
     lines.push(format!("put pool engines {pool}"));
     lines.push(r#"put pool plains {"service": "plain", "cold_limit": 2, "batch": 16}"#.into());
     for route in &scenario.routes {
-        let mut settings = scenario_route(route);
+        let mut settings = route.settings.clone();
         settings.insert("pool".into(), "engines".into());
         lines.push(format!(
             "put route {} {}",
@@ -276,10 +276,6 @@
     lines
 }
 
-fn scenario_route(route: &Route) -> serde_json::Map<String, Value> {
-    route.settings.clone()
-}
-
 /// Draws an output's length.
 fn draw_length(route: &Route, factor: f64, rng: &mut fastrand::Rng) -> u32 {
     // Two uniform numbers make a normal one (Box and Muller, 1958).
--- a/crates/load/tests/whole_path.rs
+++ b/crates/load/tests/whole_path.rs
@@ -23,6 +23,7 @@
 use load::fleet::Centre;
 use load::fleet::Fleet;
 use load::fleet::Plan;
+use load::fleet::Server;
 use serde_json::Value;
 use serde_json::json;
 use standin::token;
@@ -194,18 +195,16 @@
     fleet.stop().await;
 }
 
+fn is_plain(server: &Server) -> bool {
+    matches!(server.backend, Backend::Plain(_))
+}
+
 async fn wait_for_starts(fleet: &Fleet, count: usize) {
-    let started = |fleet: &Fleet| -> usize {
-        fleet
-            .servers
-            .iter()
-            .map(|server| match &server.backend {
-                Backend::Engine(engine) => engine.with(|engine| engine.record.starts.len()),
-                Backend::Plain(_) => 0,
-            })
-            .sum()
+    let started = || -> usize {
+        let engines = fleet.servers.iter().filter(|server| !is_plain(server));
+        engines.map(|server| server.backend.begun().len()).sum()
     };
-    while started(fleet) < count {
+    while started() < count {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
 }
@@ -370,14 +369,8 @@
         (again.end, again.reason.as_str()),
         (End::Failed, "key-unknown")
     );
-    let runs: usize = fleet
-        .servers
-        .iter()
-        .map(|server| match &server.backend {
-            Backend::Plain(plain) => plain.with(|plain| plain.record.starts.len()),
-            Backend::Engine(_) => 0,
-        })
-        .sum();
+    let marks = fleet.servers.iter().filter(|server| is_plain(server));
+    let runs: usize = marks.map(|server| server.backend.begun().len()).sum();
     assert_eq!(runs, 1);
     fleet.stop().await;
 }
--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -153,7 +153,7 @@
     pub fn farewell(&mut self) -> Vec<Send> {
         self.own.state = State::Dead;
         self.own.beat += 1;
-        let targets: Vec<InstanceId> = self.live_others().collect();
+        let targets: Vec<InstanceId> = self.running_others().collect();
         let mut sends = Vec::new();
         for target in targets.into_iter().take(RUMOURS_MAX) {
             sends.extend(self.ping(target, Time::ZERO));
@@ -308,7 +308,8 @@
         sends
     }
 
-    fn live_others(&self) -> impl Iterator<Item = InstanceId> + '_ {
+    /// Returns the other instances that are thought to be running.
+    pub fn running_others(&self) -> impl Iterator<Item = InstanceId> + '_ {
         self.peers
             .values()
             .filter(|peer| peer.rumour.state != State::Dead)
@@ -356,7 +357,8 @@
     }
 
     fn probe_through_others(&mut self, now: Time, number: u64, target: InstanceId) -> Vec<Send> {
-        let mut helpers: Vec<InstanceId> = self.live_others().filter(|id| *id != target).collect();
+        let mut helpers: Vec<InstanceId> =
+            self.running_others().filter(|id| *id != target).collect();
         self.rng.shuffle(&mut helpers);
         let probe = Probe {
             target,
@@ -411,7 +413,7 @@
         if ring_is_empty {
             let own = self.own.entry.data_centre.clone();
             let mut ring: Vec<InstanceId> = self
-                .live_others()
+                .running_others()
                 .filter(|id| (self.peers[id].rumour.entry.data_centre == own) == local)
                 .collect();
             self.rng.shuffle(&mut ring);
@@ -439,7 +441,7 @@
             return None;
         }
         let live: Vec<SocketAddr> = self
-            .live_others()
+            .running_others()
             .map(|id| self.peers[&id].rumour.entry.peers)
             .collect();
         let dead = self.peers.values().map(|peer| peer.rumour.entry.peers);
--- a/crates/once/src/ledger.rs
+++ b/crates/once/src/ledger.rs
@@ -136,10 +136,7 @@
         let numbers: Vec<u32> = self.shards.keys().copied().collect();
         for number in numbers {
             let shard = self.shards.get_mut(&number).expect("the shard was listed");
-            let keys = shard.claimed_keys();
-            let first = effects.len();
             let call = shard.next_call(number, now, wall, &mut effects);
-            shard.note_joined(&effects[first..], &keys);
             let Some(call) = call else { continue };
             if matches!(call, Call::Swap { .. }) {
                 self.swaps += 1;
@@ -160,10 +157,7 @@
             return Vec::new();
         };
         let shard = self.shards.get_mut(&number).expect("a ticket has a shard");
-        let keys = shard.claimed_keys();
-        let effects = shard.take_answer(now, answer);
-        shard.note_joined(&effects, &keys);
-        effects
+        shard.take_answer(now, answer)
     }
 
     /// Returns when something is next due.
--- a/crates/once/src/shard.rs
+++ b/crates/once/src/shard.rs
@@ -1,6 +1,5 @@
 //! One shard: its copy of the record, the swap that flies, and what waits.
 
-use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -118,7 +117,7 @@
         next.prune(wall);
         let changed = apply(&mut next, &batch, wall);
         if !changed {
-            confirm(&batch, &next, effects);
+            self.confirm(&batch, &next, effects);
             return None;
         }
         let Some(value) = next.to_bytes() else {
@@ -141,20 +140,19 @@
     /// stays true or becomes free again, and a claim that is told "taken" is repeated by its owner.
     fn answer_known(&mut self, effects: &mut Vec<Effect>) {
         let Some(copy) = &self.copy else { return };
+        let mut known = Vec::new();
         self.waiting.retain(|op| {
             let Op::Claim { claim, source } = op else {
                 return true;
             };
-            let Some(verdict) = copy.record.verdict(claim.key, claim.claim) else {
-                return true;
-            };
-            effects.push(Effect::Claimed {
-                source: *source,
-                claim: claim.claim,
-                verdict,
-            });
-            false
+            let verdict = copy.record.verdict(claim.key, claim.claim);
+            let is_free = verdict.is_none();
+            known.extend(verdict.map(|verdict| (claim.clone(), *source, verdict)));
+            is_free
         });
+        for (claim, source, verdict) in known {
+            self.tell(&claim, source, verdict, effects);
+        }
     }
 
     pub(crate) fn take_answer(&mut self, now: Time, answer: Answer) -> Vec<Effect> {
@@ -164,7 +162,7 @@
         };
         match (flight, answer) {
             (Flight::Swap { next, batch }, Answer::Swapped { revision }) => {
-                confirm(&batch, &next, &mut effects);
+                self.confirm(&batch, &next, &mut effects);
                 self.copy = Some(Copy {
                     revision,
                     record: next,
@@ -215,46 +213,46 @@
         });
     }
 
-    /// Remembers who was told that a key is in use.
-    pub(crate) fn note_joined(
-        &mut self,
-        effects: &[Effect],
-        keys: &BTreeMap<RequestId, wire::Key>,
-    ) {
-        for effect in effects {
-            let Effect::Claimed {
-                source,
-                claim,
-                verdict: Verdict::Taken { .. },
-            } = effect
-            else {
-                continue;
-            };
-            let Some(key) = keys.get(claim) else { continue };
-            self.joined.retain(|one| one.claim != *claim);
-            if self.joined.len() >= JOINED_MAX {
-                self.joined.remove(0);
-            }
-            self.joined.push(Joined {
-                key: *key,
-                claim: *claim,
-                source: *source,
-            });
+    /// Answers a claim. Whoever is told that its key is in use is remembered.
+    fn tell(&mut self, claim: &Claim, source: Source, verdict: Verdict, effects: &mut Vec<Effect>) {
+        if matches!(verdict, Verdict::Taken { .. }) {
+            self.join(claim, source);
         }
+        effects.push(Effect::Claimed {
+            source,
+            claim: claim.claim,
+            verdict,
+        });
     }
 
-    /// Returns the keys of the claims that wait or fly.
-    pub(crate) fn claimed_keys(&self) -> BTreeMap<RequestId, wire::Key> {
-        let flying = match &self.flight {
-            Some(Flight::Swap { batch, .. }) => batch.as_slice(),
-            _ => &[],
-        };
-        let all = self.waiting.iter().chain(flying);
-        all.filter_map(|op| match op {
-            Op::Claim { claim, .. } => Some((claim.claim, claim.key)),
-            Op::Settle { .. } => None,
-        })
-        .collect()
+    fn join(&mut self, claim: &Claim, source: Source) {
+        self.joined.retain(|one| one.claim != claim.claim);
+        if self.joined.len() >= JOINED_MAX {
+            self.joined.remove(0);
+        }
+        self.joined.push(Joined {
+            key: claim.key,
+            claim: claim.claim,
+            source,
+        });
+    }
+
+    /// Answers a batch from the record that it led to.
+    fn confirm(&mut self, batch: &[Op], record: &Record, effects: &mut Vec<Effect>) {
+        for op in batch {
+            match op {
+                Op::Claim { claim, source } => {
+                    // A key that was claimed and released in one batch is free for whoever asks again.
+                    let verdict = record.verdict(claim.key, claim.claim);
+                    let verdict = verdict.unwrap_or(Verdict::Unavailable);
+                    self.tell(claim, *source, verdict, effects);
+                }
+                Op::Settle { settle, source } => effects.push(Effect::Settled {
+                    source: *source,
+                    claim: settle.claim,
+                }),
+            }
+        }
     }
 
     fn read(&mut self, now: Time, revision: Revision, value: &[u8]) {
@@ -299,26 +297,6 @@
     changed
 }
 
-/// Answers a batch from the record that it led to.
-fn confirm(batch: &[Op], record: &Record, effects: &mut Vec<Effect>) {
-    for op in batch {
-        effects.push(match op {
-            Op::Claim { claim, source } => Effect::Claimed {
-                source: *source,
-                claim: claim.claim,
-                // A key that was claimed and released in one batch is free for whoever asks again.
-                verdict: record
-                    .verdict(claim.key, claim.claim)
-                    .unwrap_or(Verdict::Unavailable),
-            },
-            Op::Settle { settle, source } => Effect::Settled {
-                source: *source,
-                claim: settle.claim,
-            },
-        });
-    }
-}
-
 /// Answers the claims of a batch that could not be written, and keeps the endings for later.
 fn refuse(batch: Vec<Op>, effects: &mut Vec<Effect>, waiting: &mut VecDeque<Op>) {
     for op in batch {
--- a/crates/quickstart/src/main.rs
+++ b/crates/quickstart/src/main.rs
@@ -212,14 +212,7 @@
 fn print_starts(fleet: &Fleet) {
     println!("\nWhat the backend servers saw:");
     for server in &fleet.servers {
-        let requests: Vec<u64> = match &server.backend {
-            load::fleet::Backend::Engine(engine) => {
-                engine.with(|engine| engine.record.starts.iter().map(|start| start.1).collect())
-            }
-            load::fleet::Backend::Plain(plain) => {
-                plain.with(|plain| plain.record.starts.iter().map(|start| start.1).collect())
-            }
-        };
+        let requests = server.backend.begun();
         println!("  {:<16} requests {requests:?}", server.name);
     }
 }
--- a/crates/soak/src/capacity.rs
+++ b/crates/soak/src/capacity.rs
@@ -16,9 +16,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Row {
     plan: Plan,
-    requests_s: f64,
     cost: Cost,
-    changes: u64,
     store_writes: u64,
 }
 
@@ -129,7 +127,6 @@
         share(row.cost.store_calls as f64),
         row.store_writes as f64 / seconds,
     );
-    debug_assert!(row.requests_s >= 0.0 && row.changes == changes);
 }
 
 fn measure(plan: Plan, changes: u64) -> Row {
@@ -137,7 +134,6 @@
     world.run_until(WARM);
     let before = world.cost;
     let writes = world.platform.counts.writes;
-    let requests = world.callers.len();
     for step in 0..changes {
         let line = format!("set route status deadline_ms {}", 3_000 + step);
         world.command(step as usize % plan.instances, line);
@@ -148,7 +144,6 @@
     let mut cost = Cost {
         time: after.time - before.time,
         bytes: after.bytes - before.bytes,
-        frames: after.frames - before.frames,
         store_calls: after.store_calls - before.store_calls,
         ..Cost::default()
     };
@@ -157,9 +152,7 @@
     }
     Row {
         plan,
-        requests_s: (world.callers.len() - requests) as f64 / COUNTED.as_secs_f64(),
         cost,
-        changes,
         store_writes: world.platform.counts.writes - writes,
     }
 }
--- a/crates/soak/src/verdict.rs
+++ b/crates/soak/src/verdict.rs
@@ -111,6 +111,7 @@
         return outcome(world);
     }
     check_once(world);
+    check_refused(world);
     check_quiet(world);
     check_versions(world);
     outcome(world)
@@ -158,6 +159,24 @@
     }
 }
 
+/// Checks that nothing was run for a caller of whom every sending was refused.
+fn check_refused(world: &mut World) {
+    let refused: Vec<u64> = world
+        .callers
+        .iter()
+        .filter(|(_, caller)| caller.only_refusals && !caller.answered)
+        .filter(|(_, caller)| caller.told.len() == caller.sends as usize)
+        .map(|(number, _)| *number)
+        .collect();
+    for number in refused {
+        if starts_of(world, number) > 0 {
+            world.broken.push(format!(
+                "request {number:x} ran though each sending was refused"
+            ));
+        }
+    }
+}
+
 /// Checks that no instance holds a request for ever, and that every caller was told something.
 fn check_quiet(world: &mut World) {
     for index in 0..world.nodes.len() {
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -68,8 +68,6 @@
     pub time: Duration,
     /// Bytes of frames sent, with their hashes.
     pub bytes: u64,
-    /// Frames sent.
-    pub frames: u64,
     /// Bytes of frames by their purpose: membership, admission, ledger, configuration.
     pub by_purpose: [u64; 4],
     /// Calls of the store.
@@ -131,7 +129,6 @@
             wire::Body::Fetch { .. } | wire::Body::Changes { .. } | wire::Body::Whole { .. } => 3,
             _ => 1,
         };
-        self.frames += 1;
         self.bytes += bytes;
         self.by_purpose[purpose] += bytes;
     }
--- a/crates/soak/src/world/node.rs
+++ b/crates/soak/src/world/node.rs
@@ -336,6 +336,7 @@
         for caller in self.callers.values_mut() {
             if caller.node == (index, life - 1) && caller.marker.poison {
                 caller.told.push("connection lost".into());
+                caller.only_refusals = false;
             }
         }
         for number in lost {
--- a/crates/wire/src/admission.rs
+++ b/crates/wire/src/admission.rs
@@ -129,6 +129,17 @@
     },
 }
 
+impl Item {
+    /// Returns the attempt.
+    pub fn attempt(&self) -> AttemptId {
+        match self {
+            Item::Running { attempt, .. }
+            | Item::Progress { attempt, .. }
+            | Item::Ended { attempt, .. } => *attempt,
+        }
+    }
+}
+
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum End {
