--- a/crates/soak/src/world/node.rs
+++ b/crates/soak/src/world/node.rs
@@ -53,8 +53,8 @@
         let node = &mut self.nodes[index];
         let wake = node.instance.next_wake().unwrap_or(Time::MAX).max(self.now);
         if wake < node.wake || node.wake <= self.now {
-            node.wake = wake;
             let delay = (wake - self.now).max(Duration::from_millis(1));
+            node.wake = self.now + delay;
             self.schedule(delay, Action::Wake { node: index, life });
         }
     }
