--- a/crates/admit/src/cell.rs
+++ b/crates/admit/src/cell.rs
@@ -20,6 +20,7 @@
 use wire::admission::End;
 use wire::admission::Grant;
 use wire::admission::Item;
+use wire::admission::Place;
 use wire::admission::Report;
 use wire::admission::Work;
 
@@ -119,6 +120,7 @@
     server: Name,
     holder: InstanceId,
     work: Work,
+    copy: Option<Name>,
     suspect: bool,
     generated: u32,
     since: Time,
@@ -158,7 +160,7 @@
                 .servers
                 .entry(listing.name.clone())
                 .or_insert_with(|| Server::new(now, listing.clone(), pool));
-            server.listing = listing.clone();
+            server.list(now, listing, pool);
         }
         let listed = |name: &Name| listings.iter().any(|listing| listing.name == *name);
         let gone: Vec<Name> = self
@@ -235,6 +237,13 @@
             silent_until: now + ASK_SILENCE,
             ask,
         };
+        if let Some(server) = waiting.ask.at.clone() {
+            let verdict = match self.place_at(now, &server, &waiting) {
+                Some(grant) => Verdict::Grant(grant),
+                None => self.deny(attempt, Denial::NoServer, RETRY_MIN),
+            };
+            return answer(verdict);
+        }
         let at_once = self.queue.is_empty() || patience.is_zero();
         if at_once && let Some(grant) = self.place(now, &waiting) {
             return answer(Verdict::Grant(grant));
@@ -431,7 +440,22 @@
             return None;
         }
         let name = self.choose(now, ask)?;
-        let server = &self.servers[&name];
+        Some(self.put(now, &name, waiting))
+    }
+
+    /// Gives a generation the place where a copy of its memory is kept: the room is taken already.
+    fn place_at(&mut self, now: Time, name: &Name, waiting: &Waiting) -> Option<Grant> {
+        let server = self.servers.get(name)?;
+        if server.listing.drained {
+            return None;
+        }
+        Some(self.put(now, name, waiting))
+    }
+
+    fn put(&mut self, now: Time, name: &Name, waiting: &Waiting) -> Grant {
+        let ask = &waiting.ask;
+        let copy = self.choose_copy(now, name, ask);
+        let server = &self.servers[name];
         let grant = Grant {
             attempt: ask.attempt,
             server: name.clone(),
@@ -439,11 +463,13 @@
             boot: server.boot(),
             priority: priority(&ask.work),
             age_ms: 0,
+            copy: copy.as_ref().map(|copy| self.place_of(copy)),
         };
         let placed = Placed {
             server: name.clone(),
             holder: waiting.holder,
             work: ask.work.clone(),
+            copy,
             suspect: ask.suspect,
             generated: 0,
             since: now,
@@ -453,9 +479,21 @@
             given_up: None,
         };
         self.last_grants.insert(name.clone(), now);
-        self.prefixes.add(&name, &ask.work.prefixes);
+        self.prefixes.add(name, &ask.work.prefixes);
         self.placed.insert(ask.attempt, placed);
-        Some(grant)
+        if let Some(server) = self.servers.get_mut(name) {
+            server.note_grant(now);
+        }
+        grant
+    }
+
+    fn place_of(&self, name: &Name) -> Place {
+        let server = &self.servers[name];
+        Place {
+            server: name.clone(),
+            address: server.listing.address,
+            boot: server.boot(),
+        }
     }
 
     fn is_limited(&self, organisation: &Name) -> bool {
@@ -534,6 +572,11 @@
             boot: server.boot(),
             priority: priority(&placed.work),
             age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+            copy: placed
+                .copy
+                .as_ref()
+                .filter(|copy| self.servers.contains_key(*copy))
+                .map(|copy| self.place_of(copy)),
         })
     }
 
@@ -545,11 +588,13 @@
                 server,
                 work,
                 generated,
+                copy,
             } => {
                 let placed = self.placed.entry(*attempt).or_insert_with(|| Placed {
                     server: server.clone(),
                     holder,
                     work: work.clone(),
+                    copy: copy.clone(),
                     suspect: false,
                     generated: *generated,
                     since: now,
@@ -614,7 +659,7 @@
                 server.fail(now, true, &self.pool);
             }
             End::Unreachable => server.fail(now, true, &self.pool),
-            End::Cancelled | End::Unused => {}
+            End::Cancelled | End::Failed | End::Unused => {}
         }
     }
 
@@ -679,6 +724,8 @@
     fn listings(count: u16) -> Vec<Listing> {
         (0..count)
             .map(|index| Listing {
+                boot: 0,
+                cold: Duration::ZERO,
                 name: format!("e{index}").as_str().into(),
                 address: ([127, 0, 0, 1], index).into(),
                 leaving: false,
@@ -704,6 +751,7 @@
             avoid: Vec::new(),
             suspect: false,
             wait_ms: 5_000,
+            at: None,
         }
     }
 
--- a/crates/admit/src/cell/room.rs
+++ b/crates/admit/src/cell/room.rs
@@ -21,6 +21,11 @@
 /// Time between two grants on an engine that is at work.
 pub(super) const GRANT_SPACING: Duration = Duration::from_millis(25);
 
+/// Greatest share of a server's memory, at its predicted peak, up to which it takes copies.
+const COPY_SHARE_MAX: f64 = 0.85;
+/// Least expected output of a generation of which a copy is kept, in tokens. A shorter one is run anew
+/// in less time than its copy takes on the links.
+const COPY_TOKENS_MIN: u32 = 64;
 /// Tokens after which a request under suspicion no longer keeps others off its server: one that crashes
 /// servers has mostly done so by then.
 const TRIAL_TOKENS: u32 = 32;
@@ -69,8 +74,11 @@
         if count > 0 && !self.is_spaced(now, name) {
             return None;
         }
+        if server.is_at_cold_rate(now, &self.pool) {
+            return None;
+        }
         let slots = (count + 1) as f64 / f64::from(self.pool.batch);
-        let memory = self.memory_share(server, &here, &ask.work)?;
+        let memory = self.memory_share(server, &here, &ask.work, 1.0)?;
         Some(slots.max(memory))
     }
 
@@ -114,25 +122,63 @@
     }
 
     /// Returns the share of a server's memory at its predicted peak, or `None` if it is too small.
-    fn memory_share(&self, server: &Server, here: &[&Placed], work: &Work) -> Option<f64> {
+    ///
+    /// Copies kept for other servers count like what runs: they grow as their originals do.
+    fn memory_share(
+        &self,
+        server: &Server,
+        here: &[&Placed],
+        work: &Work,
+        most: f64,
+    ) -> Option<f64> {
         if self.pool.service == Service::Plain {
             return Some(0.0);
         }
         let Some(capacity) = server.capacity(&self.pool) else {
             return Some(0.0);
         };
+        let name = &server.listing.name;
+        let copies = self
+            .placed
+            .values()
+            .filter(|p| p.copy.as_ref() == Some(name));
         let mut uses: Vec<Use> = here
             .iter()
+            .copied()
+            .chain(copies)
             .map(|p| self.use_of(&p.work, p.generated))
             .collect();
         uses.push(self.use_of(work, 0));
         let usable = server.margin.usable(capacity);
         let peak = memory::peak(&mut uses);
         // A generation that would not fit even alone is still given an empty server.
-        let fits = peak <= usable || here.is_empty();
+        let alone = uses.len() == 1;
+        let fits = peak as f64 <= usable as f64 * most || alone;
         fits.then(|| peak as f64 / usable.max(1) as f64)
     }
 
+    /// Returns the server that keeps a copy of a generation's memory best: the emptiest one that would
+    /// still have room for new work, so that copies never stand in the way of an admission.
+    pub(super) fn choose_copy(&mut self, now: Time, server: &Name, ask: &Ask) -> Option<Name> {
+        if !self.pool.copies || ask.work.hint < COPY_TOKENS_MIN {
+            return None;
+        }
+        let mut best: Option<(f64, Name)> = None;
+        for (name, other) in &self.servers {
+            if name == server || ask.avoid.contains(name) || !other.is_open(now) {
+                continue;
+            }
+            let here: Vec<&Placed> = self.placed.values().filter(|p| p.server == *name).collect();
+            let Some(share) = self.memory_share(other, &here, &ask.work, COPY_SHARE_MAX) else {
+                continue;
+            };
+            if best.as_ref().is_none_or(|(least, _)| share < *least) {
+                best = Some((share, name.clone()));
+            }
+        }
+        best.map(|(_, name)| name)
+    }
+
     fn use_of(&self, work: &Work, generated: u32) -> Use {
         let rest = self.rest(work, generated);
         Use {
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -260,6 +260,7 @@
                 avoid: Vec::new(),
                 suspect: false,
                 wait_ms: 1_000,
+                at: None,
             },
             deadline: Duration::from_secs(9),
             silent_until: Duration::from_secs(9),
--- a/crates/admit/src/server.rs
+++ b/crates/admit/src/server.rs
@@ -27,6 +27,8 @@
 const FRAIL_TIME: Duration = Duration::from_secs(60);
 /// Lag of a report behind the state that it shows.
 const REPORT_LAG: Duration = Duration::from_millis(300);
+/// Time over which the rate of grants to a cold server is counted.
+const RATE_WINDOW: Duration = Duration::from_secs(1);
 /// Ends of requests that are remembered.
 const ENDS_MAX: usize = 256;
 /// Age up to which a load report is fresh.
@@ -39,6 +41,10 @@
     pub name: Name,
     /// Its address.
     pub address: SocketAddr,
+    /// Its life, or zero where the platform does not tell.
+    pub boot: BootId,
+    /// Time for which it stays cold.
+    pub cold: Duration,
     /// Whether it is about to go.
     pub leaving: bool,
     /// Whether operators have drained it.
@@ -86,6 +92,8 @@
     lost_sight: bool,
     crashed_at: Option<Time>,
     cold_since: Time,
+    cold_until: Time,
+    grants: VecDeque<Time>,
     ends: VecDeque<Time>,
 }
 
@@ -93,10 +101,12 @@
     /// Returns a cold server.
     pub fn new(now: Time, listing: Listing, pool: &Pool) -> Server {
         Server {
+            boot: listing.boot,
+            cold_until: now + listing.cold,
+            grants: VecDeque::new(),
             listing,
             load: None,
             margin: Margin::new(now),
-            boot: 0,
             limit: f64::from(pool.cold_limit),
             usual_s: 0.0,
             jumps: 0,
@@ -109,6 +119,43 @@
         }
     }
 
+    /// Takes the server as the platform lists it now. A new life starts from nothing.
+    pub fn list(&mut self, now: Time, listing: &Listing, pool: &Pool) {
+        if listing.boot != 0 && listing.boot != self.boot {
+            *self = Server::new(now, listing.clone(), pool);
+            return;
+        }
+        if listing.cold != self.listing.cold {
+            self.cold_until = now + listing.cold;
+        }
+        self.listing = listing.clone();
+    }
+
+    /// Notes that a place was granted here.
+    pub fn note_grant(&mut self, now: Time) {
+        while self
+            .grants
+            .front()
+            .is_some_and(|at| now.saturating_sub(*at) >= RATE_WINDOW)
+        {
+            self.grants.pop_front();
+        }
+        self.grants.push_back(now);
+    }
+
+    /// Returns whether it has had as many grants in the last second as a cold server of the pool bears.
+    pub fn is_at_cold_rate(&self, now: Time, pool: &Pool) -> bool {
+        if pool.cold_rate <= 0.0 || now >= self.cold_until {
+            return false;
+        }
+        let recent = self
+            .grants
+            .iter()
+            .filter(|at| now.saturating_sub(**at) < RATE_WINDOW)
+            .count();
+        recent as f64 + 1.0 > pool.cold_rate
+    }
+
     /// Notes that a request that the home knew of has ended here.
     pub fn note_end(&mut self, now: Time) {
         self.ends.push_back(now);
@@ -279,6 +326,8 @@
         let listing = Listing {
             name: "e".into(),
             address: ([127, 0, 0, 1], 1).into(),
+            boot: 0,
+            cold: Duration::ZERO,
             leaving: false,
             drained: false,
         };
--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -74,6 +74,43 @@
     }
 }
 
+/// The machine's clock, whose wall time is read once and never steps afterwards.
+///
+/// Where the time of day may jump by seconds and back, what instances compare (the age of a frame) must
+/// not jump with it.
+#[derive(Clone, Copy, Debug)]
+pub struct Steady {
+    system: System,
+    start: Wall,
+}
+
+impl Steady {
+    /// Returns a clock whose origin is the moment of the call.
+    pub fn new() -> Steady {
+        let system = System::new();
+        Steady {
+            start: system.wall(),
+            system,
+        }
+    }
+}
+
+impl Default for Steady {
+    fn default() -> Steady {
+        Steady::new()
+    }
+}
+
+impl Clock for Steady {
+    fn now(&self) -> Time {
+        self.system.now()
+    }
+
+    fn wall(&self) -> Wall {
+        self.start + self.system.now()
+    }
+}
+
 /// A clock that moves only when it is told to.
 #[derive(Debug)]
 pub struct Manual {
--- a/crates/conf/src/schema.rs
+++ b/crates/conf/src/schema.rs
@@ -34,6 +34,44 @@
     /// Backend servers that get no new work until they are undrained.
     #[serde(default)]
     pub drained: BTreeSet<Name>,
+    /// Bounds on what callers may send.
+    #[serde(default, skip_serializing_if = "Limits::is_default")]
+    pub limits: Limits,
+    /// Version of the operators' own document, where the whole configuration is one. Zero where it is
+    /// made of changes.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub document: u64,
+}
+
+/// Bounds on what callers of an opaque exchange may send.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Limits {
+    /// Greatest header, in bytes.
+    pub header_bytes: usize,
+    /// Greatest body, in bytes.
+    pub body_bytes: usize,
+    /// Longest time from the first byte of a header to its end, in milliseconds.
+    pub header_ms: u64,
+    /// Longest time that a connection stays idle, in milliseconds.
+    pub idle_ms: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            header_bytes: 16 * 1_024,
+            body_bytes: 1_024 * 1_024,
+            header_ms: 3_000,
+            idle_ms: 15_000,
+        }
+    }
+}
+
+impl Limits {
+    fn is_default(&self) -> bool {
+        *self == Limits::default()
+    }
 }
 
 /// One customer.
@@ -42,6 +80,12 @@
 pub struct Organisation {
     /// Hash of the bearer token, from [`crate::hash_token`].
     pub token_hash: Name,
+    /// Hashes of further tokens.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub more_hashes: BTreeSet<Name>,
+    /// Rank of its requests, zero first. It goes before that of the route.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rank: Option<u8>,
     /// Share of a crowded pool relative to the other organisations.
     #[serde(default = "default_weight")]
     pub weight: u32,
@@ -76,6 +120,23 @@
     Plain,
 }
 
+/// Who chooses a server of a pool for a request.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Placing {
+    /// The pool's home, which knows what runs on each.
+    #[default]
+    Home,
+    /// Each instance by itself, for servers with room to spare.
+    Local,
+}
+
+impl Placing {
+    fn is_home(&self) -> bool {
+        *self == Placing::Home
+    }
+}
+
 /// A group of like backend servers.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
@@ -100,6 +161,18 @@
     pub model_version: Name,
     /// Role of the engines.
     pub role: Name,
+    /// Most requests that a cold server is given in a second. Zero means that only `cold_limit` binds.
+    #[serde(skip_serializing_if = "is_zero_rate")]
+    pub cold_rate: f64,
+    /// Whether the engines send copies of a generation's memory to another engine as it grows.
+    #[serde(skip_serializing_if = "is_false")]
+    pub copies: bool,
+    /// Who chooses a server.
+    #[serde(skip_serializing_if = "Placing::is_home")]
+    pub placing: Placing,
+    /// Tokens in one event of a stream. Zero means one.
+    #[serde(skip_serializing_if = "is_zero_u32")]
+    pub stride: u32,
 }
 
 impl Default for Pool {
@@ -115,6 +188,10 @@
             adapter: Name::default(),
             model_version: Name::default(),
             role: Name::default(),
+            cold_rate: 0.0,
+            copies: false,
+            placing: Placing::Home,
+            stride: 0,
         }
     }
 }
@@ -204,6 +281,29 @@
     pub keep_running: bool,
     /// Service-level objective.
     pub objective: Objective,
+    /// Host by which callers of an opaque exchange name the route. Empty means that they name it by
+    /// its own name.
+    #[serde(skip_serializing_if = "Name::is_empty")]
+    pub host: Name,
+    /// Beginning of the paths that belong to the route.
+    #[serde(skip_serializing_if = "Name::is_empty")]
+    pub prefix: Name,
+    /// Pools that share the route's requests by weight. Empty means that `pool` has them all.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub split: BTreeMap<Name, u32>,
+    /// Most backend servers that one request is sent to. Zero means that the retry budget alone binds.
+    #[serde(skip_serializing_if = "is_zero_u32")]
+    pub attempts: u32,
+    /// Longest time from a request's arrival to the end of its answer, in milliseconds. Zero means
+    /// that there is no bound.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub timeout_ms: u64,
+    /// Rank of its requests, zero first. Without one the class stands for it.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub rank: Option<u8>,
+    /// Whether callers need no token.
+    #[serde(skip_serializing_if = "is_false")]
+    pub anonymous: bool,
 }
 
 impl Default for Route {
@@ -220,11 +320,62 @@
             keep_s: 60,
             keep_running: false,
             objective: Objective::default(),
+            host: Name::default(),
+            prefix: Name::default(),
+            split: BTreeMap::new(),
+            attempts: 0,
+            timeout_ms: 0,
+            rank: None,
+            anonymous: false,
         }
     }
 }
 
+impl Config {
+    /// Returns the route of a host and a path: the one with the longest prefix of the path.
+    pub fn route_at(&self, host: &str, path: &str) -> Option<(&Name, &Route)> {
+        self.routes
+            .iter()
+            .filter(|(_, route)| !route.prefix.is_empty())
+            .filter(|(_, route)| route.host.eq_ignore_ascii_case(host))
+            .filter(|(_, route)| path.starts_with(route.prefix.as_str()))
+            .max_by_key(|(_, route)| route.prefix.len())
+    }
+
+    /// Returns the organisation that a token belongs to, by the token's hash.
+    pub fn organisation_of(&self, token_hash: &str) -> Option<&Name> {
+        self.organisations
+            .iter()
+            .find(|(_, organisation)| organisation.has(token_hash))
+            .map(|(name, _)| name)
+    }
+}
+
+impl Organisation {
+    fn has(&self, token_hash: &str) -> bool {
+        self.token_hash == token_hash || self.more_hashes.contains(token_hash)
+    }
+}
+
 impl Route {
+    /// Returns the pool that serves a request, by a number drawn from 0 to 1.
+    pub fn pool_for(&self, draw: f64) -> &Name {
+        let total: u32 = self.split.values().sum();
+        let mut left = draw * f64::from(total);
+        for (pool, weight) in &self.split {
+            left -= f64::from(*weight);
+            if left < 0.0 {
+                return pool;
+            }
+        }
+        self.split.keys().next_back().unwrap_or(&self.pool)
+    }
+
+    /// Returns the longest time from a request's arrival to the end of its answer.
+    pub fn timeout(&self) -> Option<Duration> {
+        (self.timeout_ms > 0).then(|| Duration::from_millis(self.timeout_ms))
+    }
+
     /// Returns the longest wait for a place on a backend server.
     pub fn deadline(&self) -> Duration {
         Duration::from_millis(self.deadline_ms)
@@ -235,6 +386,22 @@
     1
 }
 
+fn is_false(value: &bool) -> bool {
+    !*value
+}
+
+fn is_zero(value: &u64) -> bool {
+    *value == 0
+}
+
+fn is_zero_u32(value: &u32) -> bool {
+    *value == 0
+}
+
+fn is_zero_rate(value: &f64) -> bool {
+    *value == 0.0
+}
+
 /// The kinds of named things in a configuration.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/core/src/baseline.rs
+++ b/crates/core/src/baseline.rs
@@ -164,7 +164,7 @@
             .map(|(_, server)| server)
     }
 
-    fn running_on(&self, server: &str) -> usize {
+    pub(crate) fn running_on(&self, server: &str) -> usize {
         self.jobs
             .values()
             .filter_map(|job| job.running())
@@ -172,17 +172,14 @@
             .count()
     }
 
-    fn dispatch_to(&mut self, id: RequestId, server: &ListedServer) {
+    pub(crate) fn dispatch_to(&mut self, id: RequestId, server: &ListedServer) {
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
         job.phase = Phase::Waiting;
         let work = job.work(0);
-        let boot = self
-            .baseline
-            .loads
-            .get(&server.name)
-            .map_or(0, |l| l.1.boot);
+        let reported = self.baseline.loads.get(&server.name).map(|l| l.1.boot);
+        let boot = reported.unwrap_or(server.boot);
         let grant = Grant {
             attempt: self.rng.u64(1..),
             server: server.name.clone(),
@@ -190,6 +187,7 @@
             boot,
             priority: admit::cell::priority(&work),
             age_ms: 0,
+            copy: None,
         };
         self.dispatch(id, &server.data_centre, &grant);
     }
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -23,6 +23,7 @@
 use crate::instance::Owner;
 use crate::message::CommandLine;
 use crate::message::CommandReply;
+use crate::settings::Source;
 
 /// Instances of a data centre that keep a watch on the head.
 const WATCHERS: usize = 2;
@@ -79,6 +80,7 @@
     pub(crate) versions: BTreeMap<InstanceId, Version>,
     seen: Revision,
     pending: Option<Head>,
+    given: bool,
     following: bool,
     reading: bool,
     next_read: Time,
@@ -109,8 +111,15 @@
 }
 
 impl Configuring {
+    pub(crate) fn new(source: Source) -> Configuring {
+        Configuring {
+            given: source == Source::Shell,
+            ..Configuring::default()
+        }
+    }
+
     pub(crate) fn next_wake(&self) -> Option<Time> {
-        let read = (!self.following && !self.reading).then_some(self.next_read);
+        let read = (!self.following && !self.reading && !self.given).then_some(self.next_read);
         let edit = self.edits.front().map(|edit| edit.until);
         let spread = self.spreading.iter().map(|spread| spread.until).min();
         [read, edit, spread].into_iter().flatten().min()
@@ -126,6 +135,9 @@
 
     /// Keeps a watch on the head, or reads it from time to time.
     fn read_head(&mut self) {
+        if self.settings.source == Source::Shell {
+            return;
+        }
         if self.config.following || self.config.reading || self.now < self.config.next_read {
             return;
         }
@@ -274,6 +286,13 @@
         self.put_config_in_force(before);
     }
 
+    /// Takes a whole configuration from whoever keeps it.
+    pub(crate) fn on_adopt(&mut self, config: &conf::Config) {
+        let before = self.config.follower.version();
+        self.config.follower.take(config.clone());
+        self.put_config_in_force(before);
+    }
+
     /// Takes an operator's command.
     pub(crate) fn on_command(&mut self, command: CommandLine) {
         let mut actions = Vec::new();
@@ -292,6 +311,9 @@
                 Err(error) => findings.push(format!("line {}, {error}", index + 1)),
             }
         }
+        if self.settings.source == Source::Shell && !actions.is_empty() {
+            findings.push("the configuration is kept by the platform; change it there".into());
+        }
         if !findings.is_empty() || actions.is_empty() {
             self.reply(command.id, CommandReply::Refused(findings));
             return;
--- a/crates/core/src/home.rs
+++ b/crates/core/src/home.rs
@@ -11,6 +11,7 @@
 use admit::cell::Share;
 use clock::Time;
 use conf::Name;
+use conf::Placing;
 use wire::AttemptId;
 use wire::Body;
 use wire::BootId;
@@ -24,13 +25,13 @@
 
 use crate::instance::Instance;
 use crate::message::Listed;
+use crate::message::ListedServer;
 use crate::message::Output;
 use crate::message::ServerReport;
 use crate::seek::SiteMemory;
 use crate::settings::Policy;
+use crate::settings::Source;
 
-/// Time between two probes of a server by its home.
-const PROBE_PERIOD: Duration = Duration::from_millis(250);
 /// Age at which a server's report is of no use.
 const REPORT_AGE: Duration = Duration::from_millis(1_000);
 /// Time that changes wait to be reported together.
@@ -160,6 +161,17 @@
                 }
             }
         }
+        self.members.list(instances);
+        // Where the list of servers is read apart, this one names instances only.
+        if self.settings.source == Source::Store {
+            self.take_servers(servers);
+        } else {
+            self.refresh_homes();
+        }
+    }
+
+    /// Puts a new list of servers in place of the one before.
+    pub(crate) fn take_servers(&mut self, servers: BTreeMap<Name, ListedServer>) {
         let reclaimed: Vec<Name> = servers
             .values()
             .filter(|server| server.reclaimed)
@@ -167,7 +179,6 @@
             .map(|server| server.name.clone())
             .collect();
         self.servers = servers;
-        self.members.list(instances);
         self.listed = true;
         self.refresh_homes();
         for server in reclaimed {
@@ -199,7 +210,8 @@
         let own = self.own_dc();
         let pools: Vec<Name> = self.config().pools.keys().cloned().collect();
         for pool in &pools {
-            if self.members.home(&own, pool) == Some(self.id()) {
+            let local = self.config().pools[pool].placing == Placing::Local;
+            if !local && self.members.home(&own, pool) == Some(self.id()) {
                 self.keep_cell(pool);
             } else if self.home.cells.contains_key(pool) {
                 self.drop_cell(pool);
@@ -223,6 +235,8 @@
             .map(|server| Listing {
                 name: server.name.clone(),
                 address: server.address,
+                boot: server.boot,
+                cold: Duration::from_millis(u64::from(server.cold_ms)),
                 leaving: server.leaving,
                 drained: out || self.config().drained.contains(&server.name),
             })
@@ -407,7 +421,7 @@
             self.tick_cells();
         }
         if self.now >= self.home.next_probe {
-            self.home.next_probe = self.now + PROBE_PERIOD;
+            self.home.next_probe = self.now + self.settings.probe_period;
             self.probe_servers();
             self.refresh_reports();
         }
@@ -509,7 +523,7 @@
     }
 
     fn report(&mut self, id: RequestId, item: Item) {
-        if self.settings.policy != Policy::Home {
+        if self.settings.policy != Policy::Home || self.is_placed_locally(id) {
             return;
         }
         let Some(job) = self.jobs.get(&id) else {
@@ -590,6 +604,7 @@
                 server: running.server.clone(),
                 work: job.work(self.hint(job)),
                 generated: running.generated,
+                copy: running.copy.as_ref().map(|place| place.server.clone()),
             })
             .collect()
     }
--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -14,6 +14,7 @@
 use member::skew::Skew;
 use once::Ledger;
 use place::Reconciler;
+use route::health::Health;
 use route::retry::Budget;
 use store::Ticket;
 use suspect::Table;
@@ -28,6 +29,7 @@
 use crate::config::Configuring;
 use crate::home::Home;
 use crate::job::Job;
+use crate::listing::Listing;
 use crate::message::Input;
 use crate::message::ListedServer;
 use crate::message::Output;
@@ -81,6 +83,8 @@
     pub(crate) next_tick: Time,
     pub(crate) servers: BTreeMap<Name, ListedServer>,
     pub(crate) listed: bool,
+    pub(crate) listing: Listing,
+    pub(crate) health: Health,
     pub(crate) jobs: BTreeMap<RequestId, Job>,
     pub(crate) attempts: BTreeMap<AttemptId, RequestId>,
     pub(crate) timers: BTreeSet<(Time, RequestId)>,
@@ -115,6 +119,8 @@
             next_tick: Time::ZERO,
             servers: BTreeMap::new(),
             listed: false,
+            listing: Listing::default(),
+            health: Health::default(),
             jobs: BTreeMap::new(),
             attempts: BTreeMap::new(),
             timers: BTreeSet::new(),
@@ -126,7 +132,7 @@
             store: store::Client::new(settings.store, rng.u64(..)),
             owners: BTreeMap::new(),
             next_ticket: 0,
-            config: Configuring::default(),
+            config: Configuring::new(settings.source),
             suspects: Table::new(settings.strikes),
             reconciler: Reconciler::new(&own.data_centre, own.id),
             next_orders: Time::ZERO,
@@ -164,6 +170,8 @@
             Input::Report(server, asked, report) => self.on_report(&server, asked, report),
             Input::Store(id, answer) => self.on_store(id, answer),
             Input::List(listed) => self.on_list(listed),
+            Input::Roster(roster) => self.on_roster_read(roster),
+            Input::Adopt(config) => self.on_adopt(&config),
             Input::Command(command) => self.on_command(command),
             Input::Leave => self.on_leave(),
             Input::Stop => self.on_stop(),
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -8,6 +8,7 @@
 use wire::InstanceId;
 use wire::Name;
 use wire::admission::AVOID_MAX;
+use wire::admission::Place;
 use wire::admission::Work;
 
 use crate::message::Request;
@@ -90,6 +91,8 @@
     pub first_token: Option<Duration>,
     /// Tokens generated.
     pub generated: u32,
+    /// Where a copy of its memory is kept.
+    pub copy: Option<Place>,
 }
 
 /// One request.
@@ -105,6 +108,8 @@
     pub arrived: Time,
     /// When it is given up unless it runs.
     pub deadline: Time,
+    /// When it is given up even if it runs.
+    pub ends: Option<Time>,
     /// When the phase next does something by itself.
     pub due: Time,
     /// Whether its key is claimed by it.
@@ -117,6 +122,10 @@
     pub retries: u32,
     /// Attempts dispatched so far.
     pub attempts: u32,
+    /// Where a copy of a lost generation's memory is kept, from which it is to go on.
+    pub kept: Option<Place>,
+    /// Urgency of what it brings to a backend server, zero first.
+    pub class: u8,
     uncertain: u32,
     delivered: u32,
 }
@@ -124,8 +133,13 @@
 impl Job {
     /// Returns a job that has done nothing yet.
     pub fn new(now: Time, request: Request, route: Route) -> Job {
+        let patience = [request.patience, route.timeout()];
+        let ends = patience.into_iter().flatten().min().map(|time| now + time);
+        let deadline = now + route.deadline();
+        let class = route.rank.unwrap_or(route.class as u8);
         Job {
-            deadline: now + route.deadline(),
+            deadline: ends.map_or(deadline, |ends| ends.min(deadline)),
+            ends,
             request,
             route,
             phase: Phase::Waiting,
@@ -136,6 +150,8 @@
             avoid: Vec::new(),
             retries: 0,
             attempts: 0,
+            kept: None,
+            class,
             uncertain: 0,
             delivered: 0,
         }
@@ -156,6 +172,22 @@
         self.route.idempotent || !self.may_have_run()
     }
 
+    /// Returns whether a generation goes on from a copy of its memory at a server.
+    pub fn resumes_at(&self, server: &str) -> bool {
+        self.kept.as_ref().is_some_and(|copy| copy.server == server)
+    }
+
+    /// Notes that the generation goes on from the copy, which is used up.
+    pub fn note_resumed(&mut self) {
+        self.attempts += 1;
+        self.kept = None;
+    }
+
+    /// Returns whether it may run on one more backend server.
+    pub fn may_run_again(&self) -> bool {
+        self.may_dispatch() && (self.route.attempts == 0 || self.uncertain < self.route.attempts)
+    }
+
     /// Notes that an attempt is dispatched: from here on it may have run.
     pub fn note_dispatch(&mut self) {
         self.attempts += 1;
@@ -196,7 +228,7 @@
         Work {
             organisation: self.request.organisation.clone(),
             route: self.request.route.clone(),
-            class: self.route.class as u8,
+            class: self.class,
             prompt: self.request.prompt,
             delivered: self.delivered,
             hint,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -39,6 +39,8 @@
 //! - `baseline`: the simpler ways of choosing a server, kept to be measured against.
 //! - `home`: deciding for a pool, and reporting to whoever does.
 //! - `claims`: idempotency keys.
+//! - `local`: choosing a server without a home, for plain services that have room to spare.
+//! - `listing`: the list of backend servers, and passing it on.
 //! - `config`: accepting and following configurations.
 //! - `gossip`: frames of other instances.
 //! - `orders`: orders to engines.
@@ -51,6 +53,8 @@
 mod home;
 mod instance;
 pub mod job;
+mod listing;
+mod local;
 pub mod message;
 mod orders;
 pub mod outcome;
@@ -72,3 +76,4 @@
 pub use crate::outcome::Refusal;
 pub use crate::settings::Policy;
 pub use crate::settings::Settings;
+pub use crate::settings::Source;
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -14,6 +14,9 @@
 use wire::Key;
 use wire::Name;
 use wire::RequestId;
+use wire::admission::Place;
+use wire::roster::Roster;
+pub use wire::roster::Server as ListedServer;
 
 use crate::outcome::Outcome;
 
@@ -36,6 +39,10 @@
     pub prefixes: Vec<u64>,
     /// Greatest number of tokens that the caller allows, if it said so.
     pub limit: Option<u32>,
+    /// Expected number of tokens, if the caller has an estimate.
+    pub expected: Option<u32>,
+    /// Time from now after which the caller has no use for an answer, if it said so.
+    pub patience: Option<Duration>,
 }
 
 /// News of an attempt.
@@ -63,6 +70,8 @@
     Refused,
     /// The server could not be reached; nothing was sent.
     Unreachable,
+    /// The server ran it and answered that it failed.
+    Failed,
     /// The server lost it while it ran.
     Lost {
         /// Whether the server crashed, as far as can be told.
@@ -86,23 +95,6 @@
     Server(ListedServer),
 }
 
-/// A backend server as the platform lists it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct ListedServer {
-    /// Its name.
-    pub name: Name,
-    /// Its data centre.
-    pub data_centre: Name,
-    /// Its label, by which pools select servers.
-    pub label: Name,
-    /// Its address.
-    pub address: SocketAddr,
-    /// Whether it is about to go.
-    pub leaving: bool,
-    /// Whether it goes so soon that long answers won't end on it.
-    pub reclaimed: bool,
-}
-
 /// What a backend server reports of itself.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ServerReport {
@@ -175,6 +167,10 @@
     Store(u64, store::Answer),
     /// The platform's list has come.
     List(Vec<Listed>),
+    /// The whole list of backend servers has been read in the platform's store.
+    Roster(Roster),
+    /// A whole configuration has come, from whoever keeps it.
+    Adopt(Arc<Config>),
     /// An operator sends a command.
     Command(CommandLine),
     /// The process is to end when its work is done.
@@ -268,4 +264,8 @@
     pub priority: u8,
     /// Whether an earlier attempt ran.
     pub rerun: bool,
+    /// Where the server is to keep a copy of the generation's memory.
+    pub copy: Option<Place>,
+    /// Whether the generation goes on from the copy that this server keeps.
+    pub resumes: bool,
 }
--- a/crates/core/src/orders.rs
+++ b/crates/core/src/orders.rs
@@ -10,6 +10,7 @@
 use crate::instance::Owner;
 use crate::message::Output;
 use crate::message::ServerReport;
+use crate::settings::Source;
 
 /// Longest wait of the lease's calls for their turn.
 pub(crate) const LEASE_PATIENCE: Duration = Duration::from_millis(1_000);
@@ -24,6 +25,9 @@
             return;
         }
         self.next_orders = self.now + ORDERS_PERIOD;
+        if self.settings.source == Source::Shell {
+            return;
+        }
         let contends = !self.leaving && self.members.is_among_first("place", CONTENDERS);
         if !contends && !self.reconciler.is_holder(self.now) {
             return;
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -33,6 +33,10 @@
     Diverged,
     /// Its caller went away.
     Cancelled,
+    /// The backend server answered that it failed.
+    ServerError,
+    /// The time that its caller or its route allows is over.
+    TimedOut,
 }
 
 impl Reason {
@@ -51,6 +55,8 @@
             Reason::Barred => "barred",
             Reason::Diverged => "diverged",
             Reason::Cancelled => "cancelled",
+            Reason::ServerError => "server-error",
+            Reason::TimedOut => "timed-out",
         }
     }
 }
--- a/crates/core/src/seek.rs
+++ b/crates/core/src/seek.rs
@@ -37,6 +37,9 @@
 /// Time after its grant up to which a place may be used. Less than the time for which the home
 /// keeps it, by more than a frame's way.
 const GRANT_USE: Duration = Duration::from_millis(700);
+/// Time that a home has to answer where a generation is to go on from a copy. Its caller sees the
+/// pause, of which a route's objective allows less than 200 ms.
+const COPY_ASK: Duration = Duration::from_millis(30);
 
 /// What is remembered of a home of another data centre, or of the own one.
 #[derive(Clone, Copy, Debug, Default)]
@@ -59,7 +62,9 @@
             return;
         };
         job.phase = Phase::Seeking(Seeking::default());
-        if self.settings.policy == Policy::Home {
+        if self.is_placed_locally(id) {
+            self.place_locally(id);
+        } else if self.settings.policy == Policy::Home {
             self.ask_next(id);
         } else {
             self.place_by_baseline(id);
@@ -67,10 +72,18 @@
     }
 
     pub(crate) fn on_seek_due(&mut self, id: RequestId) {
+        if self.is_placed_locally(id) {
+            self.place_locally(id);
+            return;
+        }
         if self.settings.policy != Policy::Home {
             self.place_by_baseline(id);
             return;
         }
+        if self.jobs[&id].kept.is_some() {
+            self.on_silent_copy(id);
+            return;
+        }
         let Some(Phase::Seeking(seeking)) = self.jobs.get(&id).map(|job| &job.phase) else {
             return;
         };
@@ -96,6 +109,44 @@
         self.ask_next(id);
     }
 
+    /// Asks the home of a copy for the place where the copy is. A home that does not answer at once is
+    /// passed over: the copy's memory is there whatever the home knows, and its caller waits.
+    pub(crate) fn seek_at_copy(&mut self, id: RequestId, data_centre: &Name) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.phase = Phase::Seeking(Seeking::default());
+        let pool = job.route.pool.clone();
+        let Some(asked) = self.asked(data_centre, &pool) else {
+            self.on_silent_copy(id);
+            return;
+        };
+        let (attempt, home) = (asked.attempt, asked.home);
+        self.attempts.insert(attempt, id);
+        self.set_main(id, Some(asked));
+        self.set_due(id, self.now + COPY_ASK);
+        self.send_ask(id, attempt, data_centre, home, false);
+    }
+
+    fn on_silent_copy(&mut self, id: RequestId) {
+        self.withdraw_all(id);
+        let Some(copy) = self.jobs[&id].kept.clone() else {
+            return;
+        };
+        let Some(server) = self.servers.get(&copy.server).cloned() else {
+            self.end(id, Reason::Lost, None);
+            return;
+        };
+        self.dispatch_to(id, &server);
+        if self
+            .jobs
+            .get(&id)
+            .is_some_and(|job| job.running().is_none())
+        {
+            self.end(id, Reason::Lost, None);
+        }
+    }
+
     fn repeat_ask(&mut self, id: RequestId, mut main: Asked) {
         main.tries += 1;
         main.sent = self.now;
@@ -233,6 +284,7 @@
             avoid: job.avoid.clone(),
             suspect: standing == Standing::Suspect,
             wait_ms: if may_wait { wait_ms } else { 0 },
+            at: job.kept.as_ref().map(|copy| copy.server.clone()),
         };
         if home == self.id() {
             self.on_ask(home, ask);
@@ -375,6 +427,10 @@
             return;
         };
         self.attempts.remove(&asked.attempt);
+        if self.jobs[&id].kept.is_some() {
+            self.end(id, Reason::Lost, None);
+            return;
+        }
         let pool = self.jobs[&id].route.pool.clone();
         if denial == Denial::Full {
             self.home.site_mut(&asked.data_centre, &pool).full_at = Some(self.now);
--- a/crates/core/src/serve.rs
+++ b/crates/core/src/serve.rs
@@ -26,6 +26,7 @@
 use crate::outcome::Outcome;
 use crate::outcome::Reason;
 use crate::outcome::Refusal;
+use crate::settings::Source;
 
 /// Expected output of a route whose outputs were never seen, in tokens.
 const HINT_DEFAULT: u32 = 128;
@@ -48,7 +49,7 @@
         let allowed = |route: &conf::Route| {
             route.organisations.is_empty() || route.organisations.contains(organisation)
         };
-        let Some(route) = found.filter(allowed) else {
+        let Some(mut route) = found.filter(allowed) else {
             let outcome = Outcome::Refused(Refusal::of_newcomer(Reason::NoRoute));
             self.out.push(Output::Finish {
                 request: id,
@@ -56,6 +57,9 @@
             });
             return;
         };
+        route.pool = route.pool_for(self.rng.f64()).clone();
+        let rank = self.config().organisations.get(organisation);
+        route.rank = rank.and_then(|found| found.rank).or(route.rank);
         self.budgets.entry(route.pool.clone()).or_default().earn();
         let mut job = Job::new(self.now, request, route);
         let claims = !job.route.idempotent && job.request.key.is_some();
@@ -95,7 +99,11 @@
     pub(crate) fn set_due(&mut self, id: RequestId, due: Time) {
         if let Some(job) = self.jobs.get_mut(&id) {
             self.timers.remove(&(job.due, id));
-            job.due = due.min(job.deadline.max(self.now));
+            let end = match job.phase {
+                Phase::Running(_) => due,
+                _ => job.deadline,
+            };
+            job.due = due.min(end.max(self.now));
             self.timers.insert((job.due, id));
         }
     }
@@ -122,6 +130,7 @@
         };
         let late = self.now >= job.deadline;
         match &job.phase {
+            _ if job.ends.is_some_and(|ends| self.now >= ends) => self.time_out(id),
             Phase::Running(_) => {}
             _ if late => self.give_up(id),
             Phase::Claiming(_) | Phase::Joining { .. } => self.send_claim(id),
@@ -130,6 +139,16 @@
         }
     }
 
+    /// Ends a job whose caller or route allows it no more time.
+    fn time_out(&mut self, id: RequestId) {
+        if self.jobs[&id].running().is_none() {
+            self.give_up(id);
+            return;
+        }
+        self.stop_running(id, End::Cancelled);
+        self.end(id, Reason::TimedOut, None);
+    }
+
     /// Ends a job whose deadline has passed before it found a place.
     fn give_up(&mut self, id: RequestId) {
         let reason = match &self.jobs[&id].phase {
@@ -154,9 +173,16 @@
         let Some(job) = self.jobs.get_mut(&id) else {
             return false;
         };
-        let may_dispatch = job.may_dispatch();
-        let rerun = job.attempts > 0;
-        job.note_dispatch();
+        // A generation that goes on from a copy of its memory is no second run.
+        let resumes = job.resumes_at(&grant.server);
+        let may_dispatch = resumes || job.may_dispatch();
+        let rerun = job.attempts > 0 && !resumes;
+        if resumes {
+            job.note_resumed();
+        } else {
+            job.note_dispatch();
+        }
+        let ends = job.ends;
         job.phase = Phase::Running(Running {
             attempt: grant.attempt,
             server: grant.server.clone(),
@@ -164,10 +190,14 @@
             data_centre: data_centre.clone(),
             since: self.now,
             first_token: None,
-            generated: 0,
+            generated: job.delivered(),
+            copy: grant.copy.clone(),
         });
         self.check(may_dispatch, Violation::RepeatedRun);
         self.clear_due(id);
+        if let Some(ends) = ends {
+            self.set_due(id, ends);
+        }
         self.attempts.insert(grant.attempt, id);
         self.out.push(Output::Dispatch(Dispatch {
             request: id,
@@ -177,6 +207,8 @@
             boot: grant.boot,
             priority: grant.priority,
             rerun,
+            copy: grant.copy.clone(),
+            resumes,
         }));
         let eligible = self.may_take_life(data_centre, &grant.server, grant.boot);
         self.check(eligible, Violation::WorkAfterWithdrawal);
@@ -224,6 +256,7 @@
             } => self.on_complete(id, generated, gap, answer),
             Event::Refused => self.on_not_run(id, End::Refused),
             Event::Unreachable => self.on_not_run(id, End::Unreachable),
+            Event::Failed => self.on_failed(id),
             Event::Lost { crashed, delivered } => self.on_lost(id, crashed, delivered),
             Event::Broken { delivered } => {
                 self.note_delivered(id, delivered);
@@ -267,6 +300,7 @@
             running.generated = generated;
         }
         self.note_ended(id, End::Complete);
+        self.note_health(id, true);
         if let Some(running) = running {
             let first = running.since + running.first_token.unwrap_or_default() - arrived;
             let sample = Sample {
@@ -301,9 +335,27 @@
         self.wait_for_retry(id, Duration::ZERO);
     }
 
+    /// The server answered that it failed.
+    fn on_failed(&mut self, id: RequestId) {
+        self.note_health(id, false);
+        self.note_ended(id, End::Failed);
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if let Some(server) = job.running().map(|running| running.server.clone()) {
+            job.avoid(&server);
+        }
+        if job.may_run_again() {
+            self.wait_for_retry(id, Duration::ZERO);
+        } else {
+            self.end(id, Reason::ServerError, None);
+        }
+    }
+
     /// The server lost the attempt while it ran.
     fn on_lost(&mut self, id: RequestId, crashed: bool, delivered: u32) {
         self.note_delivered(id, delivered);
+        self.note_health(id, false);
         let end = if crashed {
             End::Crashed
         } else {
@@ -323,8 +375,11 @@
                 self.tell_strike(fingerprint, hash);
             }
         }
+        if self.resume_from_copy(id) {
+            return;
+        }
         let job = &self.jobs[&id];
-        if !job.route.idempotent || (!job.route.rerun && delivered > 0) {
+        if !job.may_run_again() || (!job.route.rerun && delivered > 0) {
             self.end(id, Reason::Lost, None);
         } else if self.suspects.standing(self.now, fingerprint) == Standing::Barred {
             self.end_barred(id);
@@ -360,9 +415,12 @@
             Standing::Suspect => job.route.deadline().max(SUSPECT_DEADLINE),
             _ => job.route.deadline(),
         };
-        job.deadline = self.now + patience;
-        let retries = job.retries;
-        let backoff = route::retry::backoff(retries, &mut self.rng);
+        let deadline = self.now + patience;
+        job.deadline = job.ends.map_or(deadline, |ends| ends.min(deadline));
+        let backoff = match job.retries {
+            0 => Duration::ZERO,
+            retries => route::retry::backoff(retries, &mut self.rng),
+        };
         self.set_due(id, self.now + pause + backoff);
     }
 
@@ -378,6 +436,10 @@
             return;
         }
         if !self.budgets.entry(pool).or_default().spend() {
+            if job.may_have_run() && self.settings.source == Source::Shell {
+                self.end(id, Reason::RetriesSpent, None);
+                return;
+            }
             self.set_due(id, self.now + BUDGET_PAUSE);
             return;
         }
@@ -475,12 +537,49 @@
         self.attempts.retain(|_, request| *request != id);
     }
 
+    /// Goes on with a generation at the server that keeps a copy of its memory. Returns whether there
+    /// is one.
+    fn resume_from_copy(&mut self, id: RequestId) -> bool {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return false;
+        };
+        let Some(copy) = job.running().and_then(|running| running.copy.clone()) else {
+            return false;
+        };
+        let data_centre = self
+            .servers
+            .get(&copy.server)
+            .map(|s| s.data_centre.clone());
+        let Some(data_centre) = data_centre else {
+            return false;
+        };
+        if let Some(attempt) = job.running().map(|running| running.attempt) {
+            self.attempts.remove(&attempt);
+        }
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return false;
+        };
+        job.kept = Some(copy);
+        self.seek_at_copy(id, &data_centre);
+        true
+    }
+
+    fn note_health(&mut self, id: RequestId, good: bool) {
+        let server = self.jobs.get(&id).and_then(|job| job.running());
+        if let Some(server) = server.map(|running| running.server.clone()) {
+            self.health.note(self.now, &server, good);
+        }
+    }
+
     /// Returns the expected output of a request, in tokens.
     pub(crate) fn hint(&self, job: &Job) -> u32 {
         let request = &job.request;
         let known = self
             .lengths
             .rest(&request.route, &request.organisation, 0, 0.75, HINT_DEFAULT);
-        request.limit.map_or(known, |limit| known.min(limit))
+        let expected = request
+            .expected
+            .map_or(known, |expected| known.max(expected));
+        request.limit.map_or(expected, |limit| expected.min(limit))
     }
 }
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::str::FromStr;
+use std::time::Duration;
 
 use wire::Name;
 use wire::gossip::Entry;
@@ -69,6 +70,26 @@
     pub strikes: usize,
     /// Whether a violated invariant panics, as in tests, or is counted.
     pub strict: bool,
+    /// Where the configuration comes from.
+    pub source: Source,
+    /// Time between two probes of a server by its home.
+    pub probe_period: Duration,
+}
+
+/// Time between two probes of a server by its home. Engines report with a lag of some 100 ms, so more
+/// probes tell nothing new.
+pub const PROBE_PERIOD_DEFAULT: Duration = Duration::from_millis(250);
+
+/// Where the configuration comes from.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Source {
+    /// The instances keep it in the platform's store, as changes that operators send to them. The
+    /// ledger and the lease for orders lie there too.
+    #[default]
+    Store,
+    /// The operators keep it themselves, and the shell hands it in. The instance makes no calls to the
+    /// store.
+    Shell,
 }
 
 impl Settings {
@@ -91,6 +112,8 @@
             store: store::Limits::default(),
             strikes: suspect::LIMIT_DEFAULT,
             strict: true,
+            source: Source::Store,
+            probe_period: PROBE_PERIOD_DEFAULT,
         }
     }
 }
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -144,11 +144,7 @@
 /// Returns the organisation of a request's token.
 fn organisation(config: &Config, request: &hyper::Request<Incoming>) -> Option<CompactString> {
     let hash = conf::hash_token(http::bearer(request)?);
-    let found = config
-        .organisations
-        .iter()
-        .find(|(_, organisation)| organisation.token_hash == hash);
-    found.map(|(name, _)| name.clone())
+    config.organisation_of(&hash).cloned()
 }
 
 fn unknown_organisation() -> Response<Body> {
@@ -276,6 +272,8 @@
         prompt: u32::try_from(tokens).unwrap_or(u32::MAX),
         prefixes: prefixes(text),
         limit: None,
+        expected: None,
+        patience: None,
     }
 }
 
@@ -462,7 +460,8 @@
         }
         Reason::KeyInUse | Reason::KeyUnknown => StatusCode::CONFLICT,
         Reason::Barred => StatusCode::UNPROCESSABLE_ENTITY,
-        Reason::Lost | Reason::Diverged => StatusCode::BAD_GATEWAY,
+        Reason::Lost | Reason::Diverged | Reason::ServerError => StatusCode::BAD_GATEWAY,
+        Reason::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         Reason::Cancelled => StatusCode::GONE,
     }
 }
@@ -481,6 +480,8 @@
         Reason::Barred => "the request crashed the backend servers that ran it",
         Reason::Diverged => "the answer could not be continued by the same tokens",
         Reason::Cancelled => "the caller went away",
+        Reason::ServerError => "the backend server answered that it failed",
+        Reason::TimedOut => "the time allowed for the request is over",
     }
 }
 
--- a/crates/gateway/src/decider.rs
+++ b/crates/gateway/src/decider.rs
@@ -1,6 +1,7 @@
 //! The actor that owns the decisions.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -21,6 +22,7 @@
 use wigeon_core::message::Dispatch;
 use wire::AttemptId;
 use wire::InstanceId;
+use wire::Name;
 use wire::RequestId;
 use wire::gossip::Entry;
 use xtra::Actor;
@@ -28,14 +30,9 @@
 use xtra::Context;
 use xtra::Handler;
 
-use crate::backend;
-use crate::barrier::Barrier;
-use crate::http::HttpClient;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::peers::Post;
-use crate::platform::Make;
-use crate::platform::Platform;
 
 /// What the decider tells the relay of a request.
 #[derive(Clone, Debug, PartialEq)]
@@ -116,22 +113,30 @@
     pub ready: bool,
     /// Whether no request is left.
     pub idle: bool,
+    /// Whether this instance should read the list of servers in the store.
+    pub reads_list: bool,
     /// The incarnation.
     pub id: InstanceId,
 }
 
+/// What a decider has done outside the instance, other than by frames and relays.
+pub struct Outside {
+    /// Calls the platform's store.
+    pub store: Box<dyn Fn(store::Sent) + Send + Sync>,
+    /// Asks a backend server for its report and hands that to the decider. The time is given back.
+    pub probe: Box<dyn Fn(Name, SocketAddr, Time) + Send + Sync>,
+    /// Sends an order to an engine.
+    pub order: Box<dyn Fn(SocketAddr, place::Order) + Send + Sync>,
+}
+
 /// What a decider is made with.
 pub struct Links {
     /// The clock.
     pub clock: Arc<dyn Clock>,
     /// Sends frames.
     pub peers: Address<Peers>,
-    /// Calls the platform.
-    pub platform: Address<Platform>,
-    /// Calls backend servers.
-    pub client: HttpClient,
-    /// Links that are cut.
-    pub barrier: Arc<Barrier>,
+    /// What else is done outside.
+    pub outside: Outside,
     /// The relays of all requests.
     pub relays: Arc<Relays>,
     /// Where the status is shown.
@@ -140,8 +145,6 @@
     pub wake: watch::Sender<Option<Time>>,
     /// Counters.
     pub metrics: Arc<Metrics>,
-    /// The address of the decider itself.
-    pub own: Address<Decider>,
 }
 
 /// The actor that owns the decisions.
@@ -192,27 +195,17 @@
             }
             Output::Store(sent) => {
                 links.metrics.store_call();
-                let _ = links.platform.send(Make(sent)).detach().await;
+                (links.outside.store)(sent);
             }
             Output::Probe {
                 server,
                 address,
                 asked,
-            } => {
-                tokio::spawn(async move {
-                    let report = if links.barrier.cuts(address) {
-                        None
-                    } else {
-                        backend::report(links.client.clone(), address).await
-                    };
-                    let input = Input::Report(server, asked, report);
-                    let _ = links.own.send(Take(input)).detach().await;
-                });
-            }
+            } => (links.outside.probe)(server, address, asked),
             Output::Order { address, order } => {
                 // Asked once more, right before the sending.
                 if self.instance.may_send(links.clock.now(), &order) {
-                    tokio::spawn(backend::order(links.client.clone(), address, order));
+                    (links.outside.order)(address, order);
                 }
             }
             Output::Reply { id, reply } => {
@@ -236,8 +229,11 @@
 
     fn show(&mut self) {
         let (ready, idle) = (self.instance.is_ready(), self.instance.is_idle());
+        let reads_list = self.instance.reads_list();
         self.links.status.send_if_modified(|status| {
-            let changed = status.ready != ready || status.idle != idle;
+            let changed =
+                status.ready != ready || status.idle != idle || status.reads_list != reads_list;
+            status.reads_list = reads_list;
             status.ready = ready;
             status.idle = idle;
             changed
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 //!
 //! - [`settings`]: what a process is told, and its findings.
 //! - [`node`]: starting and stopping.
+//! - [`parts`]: what every shell of an instance has.
 //! - [`supervisor`]: restarting a part that has failed.
 //! - [`decider`]: the actor that owns the decisions.
 //! - [`relay`]: one request's attempts.
@@ -46,6 +47,7 @@
 pub mod metrics;
 pub mod node;
 pub mod operators;
+pub mod parts;
 pub mod peers;
 pub mod platform;
 pub mod relay;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -3,40 +3,35 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anyhow::Context as _;
 use clock::Clock;
 use conf::Config;
-use tokio::net::TcpListener;
-use tokio::net::UdpSocket;
 use tokio::sync::watch;
 use wigeon_core::Input;
-use wigeon_core::Instance;
-use wire::InstanceId;
 use wire::gossip::Entry;
-use wire::seal;
 use xtra::Address;
 use xtra::Mailbox;
 
 use crate::answer::Registry;
+use crate::backend;
 use crate::barrier::Barrier;
 use crate::callers;
 use crate::callers::Callers;
-use crate::decider;
 use crate::decider::Break;
 use crate::decider::Decider;
 use crate::decider::Hold;
-use crate::decider::Links;
-use crate::decider::Relays;
+use crate::decider::Outside;
 use crate::decider::Status;
 use crate::decider::Take;
 use crate::http;
+use crate::http::HttpClient;
 use crate::metrics::Metrics;
 use crate::operators;
 use crate::operators::Operators;
-use crate::peers;
-use crate::peers::Peers;
-use crate::peers::Receiver;
+use crate::parts;
+use crate::parts::Parts;
+use crate::parts::Sockets;
 use crate::platform;
+use crate::platform::Make;
 use crate::platform::Platform;
 use crate::relay::Shared;
 use crate::settings::Settings;
@@ -67,85 +62,41 @@
     ///
     /// If an address can't be listened on.
     pub async fn start(settings: Settings, clock: Arc<dyn Clock>) -> anyhow::Result<Node> {
-        let callers = listen(settings.callers, "callers").await?;
-        let operators = listen(settings.operators, "operators").await?;
-        let (socket, great) = listen_for_peers(&settings).await?;
-        let id = new_id();
+        let callers = parts::listen(settings.callers, "callers").await?;
+        let operators = parts::listen(settings.operators, "operators").await?;
+        let sockets = Sockets::bind(settings.peers).await?;
         let entry = Entry {
-            id,
+            id: parts::new_id(),
             name: settings.name.clone(),
             data_centre: settings.data_centre.clone(),
-            peers: great.local_addr()?,
+            peers: sockets.address()?,
             callers: callers.local_addr()?,
             operators: operators.local_addr()?,
         };
-        let metrics = Arc::new(Metrics::new());
-        let barrier = Arc::new(Barrier::default());
-        let mut supervisor = Supervisor::new();
-        let (decider, decider_mailbox) = Mailbox::unbounded();
-        let (peers, peers_mailbox) = Mailbox::unbounded();
-        let (platform, platform_mailbox) = Mailbox::unbounded();
-        let (status_sender, status) = watch::channel(Status {
-            config: Arc::new(Config::default()),
-            ready: false,
-            idle: true,
-            id,
-        });
-        let (wake, wake_receiver) = watch::channel(None);
-        let relays = Arc::new(Relays::default());
         let client = http::client(true);
-        let links = Arc::new(Links {
-            clock: clock.clone(),
-            peers,
-            platform,
-            client: client.clone(),
-            barrier: barrier.clone(),
-            relays: relays.clone(),
-            status: status_sender,
-            wake,
-            metrics: metrics.clone(),
-            own: decider.clone(),
-        });
-        let secret = seal::key_from_text(&settings.peers_key);
-        let receiver = Receiver::new(secret, id, clock.clone(), metrics.clone(), decider.clone());
-
+        let (platform, platform_mailbox) = Mailbox::unbounded();
         let core = core_settings(&settings, &entry);
-        supervisor.add("decider", decider_mailbox, move |restarts| {
-            let mut core = core.clone();
-            core.seed = core.seed.wrapping_add(u64::from(restarts));
-            Decider::new(Instance::new(core), links.clone(), restarts > 0)
-        });
-        let (peer_socket, peer_clock, peer_metrics) =
-            (socket.clone(), clock.clone(), metrics.clone());
-        let peer_barrier = barrier.clone();
-        supervisor.add("peers", peers_mailbox, move |restarts| {
-            // The numbers of a new sealer must not repeat those of the one before.
-            let sealer = seal::Sealer::new(secret, id).with_start(u64::from(restarts) << 40);
-            Peers::new(
-                peer_socket.clone(),
-                sealer,
-                peer_clock.clone(),
-                peer_barrier.clone(),
-                peer_metrics.clone(),
-            )
+        let key = &settings.peers_key;
+        let Parts {
+            decider,
+            status,
+            relays,
+            metrics,
+            barrier,
+            mut supervisor,
+        } = Parts::start(core, key, sockets, clock.clone(), |decider, barrier| {
+            outside(platform, client.clone(), barrier.clone(), decider.clone())
         });
         let (address, told) = (settings.platform, decider.clone());
         let platform_barrier = barrier.clone();
         supervisor.add("platform", platform_mailbox, move |_| {
             Platform::new(address, platform_barrier.clone(), told.clone())
         });
-        supervisor.add_task(peers::receive_datagrams(socket, receiver.clone()));
-        supervisor.add_task(peers::receive_connections(great, receiver));
         supervisor.add_task(platform::read_list(
             settings.platform,
             barrier.clone(),
             decider.clone(),
         ));
-        supervisor.add_task(decider::keep_time(
-            clock.clone(),
-            wake_receiver,
-            decider.clone(),
-        ));
 
         let shared = Arc::new(Shared {
             decider: decider.clone(),
@@ -266,32 +217,36 @@
     }
 }
 
-fn new_id() -> InstanceId {
-    fastrand::u64(1..)
-}
-
-async fn listen(address: std::net::SocketAddr, what: &str) -> anyhow::Result<TcpListener> {
-    TcpListener::bind(address)
-        .await
-        .with_context(|| format!("{what}: can't listen on {address}"))
-}
-
-/// Listens for datagrams and connections on the same port.
-async fn listen_for_peers(settings: &Settings) -> anyhow::Result<(Arc<UdpSocket>, TcpListener)> {
-    /// Times that another port is tried where the system chooses it.
-    const TRIES: u32 = 20;
-    let mut tries = 0;
-    loop {
-        let great = listen(settings.peers, "peers").await?;
-        let address = great.local_addr()?;
-        tries += 1;
-        match UdpSocket::bind(address).await {
-            Ok(socket) => return Ok((Arc::new(socket), great)),
-            Err(_) if settings.peers.port() == 0 && tries < TRIES => {}
-            Err(error) => {
-                return Err(error).with_context(|| format!("peers: can't listen on {address}"));
-            }
-        }
+/// Returns what a decider has done by the adapters to the platform and to backend servers.
+fn outside(
+    platform: Address<Platform>,
+    client: HttpClient,
+    barrier: Arc<Barrier>,
+    decider: Address<Decider>,
+) -> Outside {
+    let orders = client.clone();
+    Outside {
+        store: Box::new(move |sent| {
+            let platform = platform.clone();
+            tokio::spawn(async move {
+                let _ = platform.send(Make(sent)).detach().await;
+            });
+        }),
+        probe: Box::new(move |server, address, asked| {
+            let (client, barrier, decider) = (client.clone(), barrier.clone(), decider.clone());
+            tokio::spawn(async move {
+                let report = if barrier.cuts(address) {
+                    None
+                } else {
+                    backend::report(client, address).await
+                };
+                let input = Input::Report(server, asked, report);
+                let _ = decider.send(Take(input)).detach().await;
+            });
+        }),
+        order: Box::new(move |address, order| {
+            tokio::spawn(backend::order(orders.clone(), address, order));
+        }),
     }
 }
 
@@ -308,5 +263,7 @@
         },
         strikes: wigeon_core::settings::STRIKES_DEFAULT,
         strict: false,
+        source: wigeon_core::Source::Store,
+        probe_period: wigeon_core::settings::PROBE_PERIOD_DEFAULT,
     }
 }
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -171,6 +171,8 @@
             address: entry.address,
             leaving: entry.leaving,
             reclaimed: entry.reclaimed,
+            boot: 0,
+            cold_ms: 0,
         })
     }
 }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -13,9 +13,11 @@
 //! # Modules
 //!
 //! - [`choice`]: eligibility and choice of data centres.
+//! - [`health`]: health of servers by what their requests see.
 //! - [`prefix`]: hints about prefix caches.
 //! - [`retry`]: the retry budget and backoff.
 
 pub mod choice;
+pub mod health;
 pub mod prefix;
 pub mod retry;
--- a/crates/soak/src/world/backend.rs
+++ b/crates/soak/src/world/backend.rs
@@ -385,6 +385,8 @@
             address: SocketAddr::from(([127, 0, 0, 1], port)),
             leaving: false,
             reclaimed: false,
+            boot: 0,
+            cold_ms: 0,
         };
         let server = Server {
             backend,
--- a/crates/soak/src/world/load.rs
+++ b/crates/soak/src/world/load.rs
@@ -99,6 +99,8 @@
             prompt: 20,
             prefixes: Vec::new(),
             limit: None,
+            expected: None,
+            patience: None,
         };
         self.input(index, Input::Request(request));
     }
--- a/crates/wire/src/admission.rs
+++ b/crates/wire/src/admission.rs
@@ -31,6 +31,20 @@
     pub suspect: bool,
     /// Longest wait, in milliseconds. Zero asks for a place at once or not at all.
     pub wait_ms: u32,
+    /// The backend server that holds a copy of the generation's memory, where it is to go on. The
+    /// place is there or nowhere, and does not wait.
+    pub at: Option<Name>,
+}
+
+/// A backend server and its life.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Place {
+    /// The backend server.
+    pub server: Name,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Its life, as far as the home knows it.
+    pub boot: BootId,
 }
 
 /// What one attempt brings to a backend server.
@@ -67,6 +81,8 @@
     pub priority: u8,
     /// Age of the grant when this frame was sent, in milliseconds.
     pub age_ms: u32,
+    /// Where a copy of the generation's memory is to be kept, if anywhere.
+    pub copy: Option<Place>,
 }
 
 /// Why no place is given.
@@ -108,6 +124,8 @@
         work: Work,
         /// Tokens generated so far.
         generated: u32,
+        /// The backend server that keeps a copy of its memory.
+        copy: Option<Name>,
     },
     /// It has generated more tokens.
     Progress {
@@ -155,4 +173,6 @@
     Crashed,
     /// The grant was not used.
     Unused,
+    /// The backend server answered that it failed.
+    Failed,
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -28,6 +28,7 @@
 //! - [`admission`]: asking for a place on a backend server, granting it, reporting its use.
 //! - [`gossip`]: who is alive, and the small facts that travel with it.
 //! - [`ledger`]: claims on idempotency keys.
+//! - [`roster`]: the list of backend servers.
 //! - [`seal`]: coding and authentication.
 
 use std::error;
@@ -39,6 +40,7 @@
 pub mod admission;
 pub mod gossip;
 pub mod ledger;
+pub mod roster;
 pub mod seal;
 
 /// A name that operators or the platform give to something.
@@ -179,6 +181,10 @@
         /// The configuration.
         json: Vec<u8>,
     },
+    /// Asks for the whole list of backend servers.
+    FetchRoster,
+    /// What has changed in the list of backend servers.
+    Roster(roster::Roster),
 }
 
 /// Why bytes are no frame.
