Give a generation that goes on from its copy the time that its request has

The bound on waiting for a first place was long past, so the search ended before the home could answer.

--- a/crates/core/src/serve.rs
+++ b/crates/core/src/serve.rs
@@ -560,6 +560,8 @@
             return false;
         };
         job.kept = Some(copy);
+        // The time in which it had to find its first place is long over.
+        job.deadline = job.ends.unwrap_or(self.now + job.route.deadline());
         self.seek_at_copy(id, &data_centre);
         true
     }
