Keep copies alive as their holders leave, and place by prompts that are still being read

Now the home renews a copy whose holder is about to go, the relay has it brought up to date and released, and a crash that was announced, or came after 32 tokens, is not put down to the request. A home places a prompt where fewest prompt tokens are still to be read.

--- a/crates/admit/src/cell.rs
+++ b/crates/admit/src/cell.rs
@@ -52,6 +52,10 @@
 const RETRY_MIN: Duration = Duration::from_millis(200);
 /// Greatest time that a denied holder is told to wait.
 const RETRY_MAX: Duration = Duration::from_secs(10);
+/// Time between two looks for copies to be renewed: a server that leaves says so two seconds before.
+const RENEWAL_PERIOD: Duration = Duration::from_millis(100);
+/// Copies renewed in one look. One takes some 200 ms on a link.
+const RENEWALS_MAX: usize = 4;
 /// Denied asks that are remembered, so that a repeated one gets the same answer.
 const DENIED_MAX: usize = 1_024;
 
@@ -111,6 +115,7 @@
     served_rate: f64,
     rate_at: Time,
     denied: BTreeSet<AttemptId>,
+    next_renewal: Time,
     rng: fastrand::Rng,
 }
 
@@ -148,6 +153,7 @@
             served_rate: 0.0,
             rate_at: now,
             denied: BTreeSet::new(),
+            next_renewal: Time::ZERO,
             rng: fastrand::Rng::with_seed(seed),
         }
     }
@@ -454,7 +460,7 @@
 
     fn put(&mut self, now: Time, name: &Name, waiting: &Waiting) -> Grant {
         let ask = &waiting.ask;
-        let copy = self.choose_copy(now, name, ask);
+        let copy = self.choose_copy(now, name, &ask.work, &ask.avoid);
         let server = &self.servers[name];
         let grant = Grant {
             attempt: ask.attempt,
@@ -487,6 +493,49 @@
         grant
     }
 
+    /// Returns the running attempts whose memory is to be copied to a new place: those whose copy is on
+    /// a server that is about to go or has gone, and those that have none because there was no room.
+    /// A few at a time, so that their copies do not queue on the links.
+    pub fn renew_copies(&mut self, now: Time) -> Vec<(InstanceId, AttemptId, Place)> {
+        if !self.pool.copies || now < self.next_renewal {
+            return Vec::new();
+        }
+        self.next_renewal = now + RENEWAL_PERIOD;
+        let is_kept = |name: &Name| self.servers.get(name).is_some_and(Server::stays);
+        let mut bare: Vec<AttemptId> = self
+            .placed
+            .iter()
+            .filter(|(_, placed)| placed.confirmed && placed.given_up.is_none())
+            .filter(|(_, placed)| placed.generated > 0)
+            .filter(|(_, placed)| !placed.copy.as_ref().is_some_and(is_kept))
+            .map(|(attempt, _)| *attempt)
+            .collect();
+        // Those that have come furthest lose most.
+        bare.sort_by_key(|attempt| std::cmp::Reverse(self.placed[attempt].generated));
+        let mut renewed = Vec::new();
+        for attempt in bare {
+            if renewed.len() >= RENEWALS_MAX {
+                break;
+            }
+            let placed = self.placed[&attempt].clone();
+            let Some(copy) = self.choose_copy(now, &placed.server, &placed.work, &[]) else {
+                continue;
+            };
+            renewed.push((placed.holder, attempt, self.place_of(&copy)));
+            if let Some(placed) = self.placed.get_mut(&attempt) {
+                placed.copy = Some(copy);
+            }
+        }
+        renewed
+    }
+
+    /// Notes that a copy could not be made.
+    pub fn forget_copy(&mut self, attempt: AttemptId) {
+        if let Some(placed) = self.placed.get_mut(&attempt) {
+            placed.copy = None;
+        }
+    }
+
     fn place_of(&self, name: &Name) -> Place {
         let server = &self.servers[name];
         Place {
--- a/crates/admit/src/cell/room.rs
+++ b/crates/admit/src/cell/room.rs
@@ -30,6 +30,20 @@
 /// servers has mostly done so by then.
 const TRIAL_TOKENS: u32 = 32;
 
+/// Prompt tokens that a server has still to read, below which servers count as equal.
+const READING_SLACK: u64 = 400;
+/// Time after which a prompt counts as read though no token of its answer was reported.
+const READING_TIME: Duration = Duration::from_secs(3);
+
+/// A server with room.
+struct Open {
+    reading: u64,
+    utilisation: f64,
+    matched: usize,
+    draw: u64,
+    name: Name,
+}
+
 fn is_on_trial(placed: &Placed) -> bool {
     placed.suspect && placed.generated < TRIAL_TOKENS
 }
@@ -37,20 +51,43 @@
 impl Cell {
     /// Returns the server that runs an ask best, among those that have room for it.
     pub(super) fn choose(&mut self, now: Time, ask: &Ask) -> Option<Name> {
-        let mut open: Vec<(f64, usize, u64, Name)> = Vec::new();
+        let mut open: Vec<Open> = Vec::new();
         for name in self.servers.keys() {
             if ask.avoid.contains(name) {
                 continue;
             }
             if let Some(utilisation) = self.room(now, name, ask) {
                 let matched = self.prefixes.matched(name, &ask.work.prefixes);
-                open.push((utilisation, matched, self.rng.u64(..), name.clone()));
+                open.push(Open {
+                    reading: self.reading(now, name),
+                    utilisation,
+                    matched,
+                    draw: self.rng.u64(..),
+                    name: name.clone(),
+                });
             }
         }
-        let least = open.iter().map(|one| one.0).reduce(f64::min)?;
-        open.retain(|one| one.0 <= least + AFFINITY_SLACK);
-        open.sort_by(|a, b| b.1.cmp(&a.1).then(a.0.total_cmp(&b.0)).then(a.2.cmp(&b.2)));
-        open.into_iter().next().map(|one| one.3)
+        // A prompt that is being read delays the first token of the next one, and every token beside it.
+        let least = open.iter().map(|one| one.reading).min()?;
+        open.retain(|one| one.reading <= least + READING_SLACK);
+        let least = open.iter().map(|one| one.utilisation).reduce(f64::min)?;
+        open.retain(|one| one.utilisation <= least + AFFINITY_SLACK);
+        open.sort_by(|a, b| {
+            let matched = b.matched.cmp(&a.matched);
+            let used = a.utilisation.total_cmp(&b.utilisation);
+            matched.then(used).then(a.draw.cmp(&b.draw))
+        });
+        open.into_iter().next().map(|one| one.name)
+    }
+
+    /// Returns the tokens of the prompts that a server has still to read.
+    fn reading(&self, now: Time, name: &Name) -> u64 {
+        self.placed
+            .values()
+            .filter(|p| p.server == *name && p.generated == 0 && p.given_up.is_none())
+            .filter(|p| now.saturating_sub(p.since) < READING_TIME)
+            .map(|p| u64::from(p.work.prompt))
+            .sum()
     }
 
     /// Returns how full a server would be with an ask, or `None` if it has no room for it.
@@ -159,17 +196,23 @@
 
     /// Returns the server that keeps a copy of a generation's memory best: the emptiest one that would
     /// still have room for new work, so that copies never stand in the way of an admission.
-    pub(super) fn choose_copy(&mut self, now: Time, server: &Name, ask: &Ask) -> Option<Name> {
-        if !self.pool.copies || ask.work.hint < COPY_TOKENS_MIN {
+    pub(super) fn choose_copy(
+        &self,
+        now: Time,
+        server: &Name,
+        work: &Work,
+        avoid: &[Name],
+    ) -> Option<Name> {
+        if !self.pool.copies || work.hint < COPY_TOKENS_MIN {
             return None;
         }
         let mut best: Option<(f64, Name)> = None;
         for (name, other) in &self.servers {
-            if name == server || ask.avoid.contains(name) || !other.is_open(now) {
+            if name == server || avoid.contains(name) || !other.is_open(now) {
                 continue;
             }
             let here: Vec<&Placed> = self.placed.values().filter(|p| p.server == *name).collect();
-            let Some(share) = self.memory_share(other, &here, &ask.work, COPY_SHARE_MAX) else {
+            let Some(share) = self.memory_share(other, &here, work, COPY_SHARE_MAX) else {
                 continue;
             };
             if best.as_ref().is_none_or(|(least, _)| share < *least) {
--- a/crates/admit/src/server.rs
+++ b/crates/admit/src/server.rs
@@ -194,6 +194,11 @@
         !listing.leaving && !listing.drained && !self.leaving && now >= self.closed_until
     }
 
+    /// Returns whether it is not about to go, whether it takes new work at this moment or not.
+    pub fn stays(&self) -> bool {
+        !self.listing.leaving && !self.listing.drained && !self.leaving
+    }
+
     /// Returns whether its newest report is recent.
     pub fn is_fresh(&self, now: Time) -> bool {
         self.load
--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -76,6 +76,8 @@
             Body::Fetch { after } => self.on_fetch(from, after),
             Body::Changes { json } => self.on_changes(&json),
             Body::Whole { json } => self.on_whole(&json),
+            Body::CopyTo { attempt, place } => self.on_copy_to(attempt, place),
+            Body::NoCopy { attempt, pool } => self.on_no_copy(attempt, &pool),
             Body::FetchRoster => self.on_fetch_roster(from),
             Body::Roster(roster) => self.on_roster(from, roster),
             Body::Ping { .. } | Body::Ack { .. } | Body::PingFor { .. } => {}
--- a/crates/core/src/home.rs
+++ b/crates/core/src/home.rs
@@ -435,14 +435,23 @@
             .retain(|_, leaver| now.saturating_sub(leaver.said_at) < LEAVING_TIME);
         let mut replies = Vec::new();
         let mut silent = Vec::new();
+        let mut copies = Vec::new();
         for (pool, cell) in &mut self.home.cells {
             replies.extend(cell.tick(now));
+            copies.extend(cell.renew_copies(now));
             let holders = cell.silent_holders(now).into_iter();
             silent.extend(holders.map(|holder| (holder, pool.clone())));
         }
         for (holder, pool) in silent {
             self.send(holder, Body::Resync { pool });
         }
+        for (holder, attempt, place) in copies {
+            if holder == self.id() {
+                self.on_copy_to(attempt, place);
+            } else {
+                self.send(holder, Body::CopyTo { attempt, place });
+            }
+        }
         self.deliver(replies);
     }
 
@@ -502,7 +511,8 @@
             return;
         };
         let (attempt, generated) = (running.attempt, running.generated);
-        if generated >= PROGRESS_STEP {
+        let started = generated == 1;
+        if started || generated >= PROGRESS_STEP {
             self.report(id, Item::Progress { attempt, generated });
         }
     }
@@ -604,7 +614,7 @@
                 server: running.server.clone(),
                 work: job.work(self.hint(job)),
                 generated: running.generated,
-                copy: running.copy.as_ref().map(|place| place.server.clone()),
+                copy: running.copy.as_ref().map(|kept| kept.place.server.clone()),
             })
             .collect()
     }
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -8,9 +8,9 @@
 use wire::InstanceId;
 use wire::Name;
 use wire::admission::AVOID_MAX;
-use wire::admission::Place;
 use wire::admission::Work;
 
+use crate::message::Kept;
 use crate::message::Request;
 
 /// What a request is doing.
@@ -91,8 +91,10 @@
     pub first_token: Option<Duration>,
     /// Tokens generated.
     pub generated: u32,
+    /// Tokens that the caller had when the attempt began.
+    pub begun: u32,
     /// Where a copy of its memory is kept.
-    pub copy: Option<Place>,
+    pub copy: Option<Kept>,
 }
 
 /// One request.
@@ -123,7 +125,7 @@
     /// Attempts dispatched so far.
     pub attempts: u32,
     /// Where a copy of a lost generation's memory is kept, from which it is to go on.
-    pub kept: Option<Place>,
+    pub kept: Option<Kept>,
     /// Urgency of what it brings to a backend server, zero first.
     pub class: u8,
     uncertain: u32,
@@ -172,15 +174,14 @@
         self.route.idempotent || !self.may_have_run()
     }
 
-    /// Returns whether a generation goes on from a copy of its memory at a server.
-    pub fn resumes_at(&self, server: &str) -> bool {
-        self.kept.as_ref().is_some_and(|copy| copy.server == server)
+    /// Takes the copy from which the generation goes on at a server, if there is one. It is used up.
+    pub fn resume_at(&mut self, server: &str) -> Option<Kept> {
+        self.kept.take_if(|copy| copy.place.server == server)
     }
 
-    /// Notes that the generation goes on from the copy, which is used up.
+    /// Notes an attempt that goes on with the same run.
     pub fn note_resumed(&mut self) {
         self.attempts += 1;
-        self.kept = None;
     }
 
     /// Returns whether it may run on one more backend server.
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -72,6 +72,10 @@
     Unreachable,
     /// The server ran it and answered that it failed.
     Failed,
+    /// A copy of its memory has been made.
+    Copied(Kept),
+    /// The copy that was ordered could not be made.
+    NotCopied,
     /// The server lost it while it ran.
     Lost {
         /// Whether the server crashed, as far as can be told.
@@ -193,6 +197,15 @@
         /// The attempt.
         attempt: AttemptId,
     },
+    /// Have the server of an attempt copy the generation's memory to another one.
+    Copy {
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: AttemptId,
+        /// Where to.
+        place: Place,
+    },
     /// Tell a caller how its request ended.
     Finish {
         /// The request.
@@ -266,6 +279,24 @@
     pub rerun: bool,
     /// Where the server is to keep a copy of the generation's memory.
     pub copy: Option<Place>,
-    /// Whether the generation goes on from the copy that this server keeps.
-    pub resumes: bool,
+    /// The copy on this server from which the generation goes on.
+    pub resumes: Option<Kept>,
+}
+
+/// A copy of a generation's memory.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Kept {
+    /// The server that keeps it.
+    pub place: Place,
+    /// How it is named, where it does not grow with the generation by itself.
+    pub handle: Option<Handle>,
+}
+
+/// The name of a copy that was ordered.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Handle {
+    /// The server that it was copied from.
+    pub source: SocketAddr,
+    /// Its name there.
+    pub name: Name,
 }
--- a/crates/core/src/seek.rs
+++ b/crates/core/src/seek.rs
@@ -133,7 +133,7 @@
         let Some(copy) = self.jobs[&id].kept.clone() else {
             return;
         };
-        let Some(server) = self.servers.get(&copy.server).cloned() else {
+        let Some(server) = self.servers.get(&copy.place.server).cloned() else {
             self.end(id, Reason::Lost, None);
             return;
         };
@@ -284,7 +284,7 @@
             avoid: job.avoid.clone(),
             suspect: standing == Standing::Suspect,
             wait_ms: if may_wait { wait_ms } else { 0 },
-            at: job.kept.as_ref().map(|copy| copy.server.clone()),
+            at: job.kept.as_ref().map(|copy| copy.place.server.clone()),
         };
         if home == self.id() {
             self.on_ask(home, ask);
--- a/crates/core/src/serve.rs
+++ b/crates/core/src/serve.rs
@@ -7,10 +7,12 @@
 use conf::Delivery;
 use suspect::Standing;
 use wire::AttemptId;
+use wire::Body;
 use wire::Name;
 use wire::RequestId;
 use wire::admission::End;
 use wire::admission::Grant;
+use wire::admission::Place;
 use wire::ledger::Answer;
 
 use crate::instance::Instance;
@@ -21,6 +23,7 @@
 use crate::job::Running;
 use crate::message::Dispatch;
 use crate::message::Event;
+use crate::message::Kept;
 use crate::message::Output;
 use crate::message::Request;
 use crate::outcome::Outcome;
@@ -35,6 +38,9 @@
 /// Longest wait of a suspect for a place. It gets one only where no other suspect runs, which may take
 /// its time after a crash of a full engine, and most of them are innocent.
 const SUSPECT_DEADLINE: Duration = Duration::from_secs(30);
+/// Tokens of an attempt after which a crash of its server is not put down to it: a request that crashes
+/// servers does so when they begin to run it.
+const TRIAL_TOKENS: u32 = 32;
 /// Pause before a suspect is tried again, so that strikes of the same crash have spread.
 const SUSPECT_PAUSE: Duration = Duration::from_millis(300);
 
@@ -174,10 +180,10 @@
             return false;
         };
         // A generation that goes on from a copy of its memory is no second run.
-        let resumes = job.resumes_at(&grant.server);
-        let may_dispatch = resumes || job.may_dispatch();
-        let rerun = job.attempts > 0 && !resumes;
-        if resumes {
+        let resumes = job.resume_at(&grant.server);
+        let may_dispatch = resumes.is_some() || job.may_dispatch();
+        let rerun = job.attempts > 0 && resumes.is_none();
+        if resumes.is_some() {
             job.note_resumed();
         } else {
             job.note_dispatch();
@@ -191,7 +197,11 @@
             since: self.now,
             first_token: None,
             generated: job.delivered(),
-            copy: grant.copy.clone(),
+            begun: job.delivered(),
+            copy: grant.copy.clone().map(|place| Kept {
+                place,
+                handle: None,
+            }),
         });
         self.check(may_dispatch, Violation::RepeatedRun);
         self.clear_due(id);
@@ -257,6 +267,8 @@
             Event::Refused => self.on_not_run(id, End::Refused),
             Event::Unreachable => self.on_not_run(id, End::Unreachable),
             Event::Failed => self.on_failed(id),
+            Event::Copied(kept) => self.on_copied(id, kept),
+            Event::NotCopied => self.on_not_copied(id, attempt),
             Event::Lost { crashed, delivered } => self.on_lost(id, crashed, delivered),
             Event::Broken { delivered } => {
                 self.note_delivered(id, delivered);
@@ -270,7 +282,10 @@
         let now = self.now;
         if let Some(Phase::Running(running)) = self.jobs.get_mut(&id).map(|job| &mut job.phase) {
             running.first_token.get_or_insert(now - running.since);
+            running.generated = running.generated.max(1);
         }
+        // The home counts prompts that are still being read.
+        self.note_progress(id);
     }
 
     fn on_progress(&mut self, id: RequestId, generated: u32, delivered: u32) {
@@ -369,7 +384,11 @@
         let running = job.running().cloned();
         if let Some(running) = running {
             job.avoid(&running.server);
-            if crashed {
+            // A server that said that it goes, or was taken off the list, was not crashed by a request.
+            // Nor was one that had long run it.
+            let announced = !self.may_take_work(&running.data_centre, &running.server);
+            let proved = running.generated >= running.begun + TRIAL_TOKENS;
+            if crashed && !announced && !proved {
                 let hash = suspect::server_hash(&running.server, running.boot);
                 self.suspects.strike(self.now, fingerprint, hash);
                 self.tell_strike(fingerprint, hash);
@@ -548,7 +567,7 @@
         };
         let data_centre = self
             .servers
-            .get(&copy.server)
+            .get(&copy.place.server)
             .map(|s| s.data_centre.clone());
         let Some(data_centre) = data_centre else {
             return false;
@@ -566,6 +585,47 @@
         true
     }
 
+    /// Has a running attempt's memory copied to the place that its home has chosen.
+    pub(crate) fn on_copy_to(&mut self, attempt: AttemptId, place: Place) {
+        let running = self.attempts.get(&attempt).copied().filter(|id| {
+            let running = self.jobs.get(id).and_then(Job::running);
+            running.is_some_and(|running| running.attempt == attempt)
+        });
+        if let Some(request) = running {
+            self.out.push(Output::Copy {
+                request,
+                attempt,
+                place,
+            });
+        }
+    }
+
+    fn on_copied(&mut self, id: RequestId, kept: Kept) {
+        if let Some(Phase::Running(running)) = self.jobs.get_mut(&id).map(|job| &mut job.phase) {
+            running.copy = Some(kept);
+        }
+    }
+
+    fn on_not_copied(&mut self, id: RequestId, attempt: AttemptId) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let pool = job.route.pool.clone();
+        let data_centre = job.running().map(|running| running.data_centre.clone());
+        let home = data_centre.and_then(|data_centre| self.members.home(&data_centre, &pool));
+        match home {
+            Some(home) if home == self.id() => self.on_no_copy(attempt, &pool),
+            Some(home) => self.send(home, Body::NoCopy { attempt, pool }),
+            None => {}
+        }
+    }
+
+    pub(crate) fn on_no_copy(&mut self, attempt: AttemptId, pool: &Name) {
+        if let Some(cell) = self.home.cells.get_mut(pool) {
+            cell.forget_copy(attempt);
+        }
+    }
+
     fn note_health(&mut self, id: RequestId, good: bool) {
         let server = self.jobs.get(&id).and_then(|job| job.running());
         if let Some(server) = server.map(|running| running.server.clone()) {
--- a/crates/exchange/src/codec.rs
+++ b/crates/exchange/src/codec.rs
@@ -9,8 +9,10 @@
 use hyper::StatusCode;
 use hyper::http::request;
 use hyper::http::response;
+use wigeon_core::Handle;
 use wigeon_core::Outcome;
 use wigeon_core::message::Dispatch;
+use wire::admission::Place;
 
 /// What a request's header says.
 #[derive(Clone, Debug)]
@@ -94,6 +96,15 @@
     pub last_event: Option<u64>,
 }
 
+/// A call by which a server copies a generation's memory.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Copying {
+    /// Its path. The method is POST.
+    pub path: CompactString,
+    /// Its body, in JSON.
+    pub body: String,
+}
+
 /// Reads and writes the headers of one platform.
 #[derive(Clone, Copy, Debug)]
 pub struct Codec {
@@ -103,6 +114,12 @@
     pub forward: fn(&Call, &Attempt<'_>) -> HeaderMap,
     /// Judges a server's answer.
     pub judge: fn(&Call, &response::Parts) -> Judgement,
+    /// Returns the call by which a server copies a generation's memory to another one.
+    pub copy: fn(&Call, &Place) -> Copying,
+    /// Returns the name of the copy, from the answer to that call.
+    pub copied: fn(&[u8]) -> Option<Name>,
+    /// Returns the path by which a server is told, with DELETE, that a copy is not needed any more.
+    pub release: fn(&Handle) -> CompactString,
     /// Returns the status and header fields for a request that is not served.
     pub refuse: fn(&Call, &Outcome) -> (StatusCode, HeaderMap),
 }
--- a/crates/exchange/src/link.rs
+++ b/crates/exchange/src/link.rs
@@ -4,17 +4,25 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::Method;
 use hyper::Request;
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HOST;
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use socket2::TcpKeepalive;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+use crate::codec::Copying;
+
 /// Longest wait for a connection. Data centres are some milliseconds apart; a first packet that was
 /// dropped is repeated after a second only, by when another server has long answered.
 const CONNECT_TIME: Duration = Duration::from_millis(300);
@@ -77,6 +85,38 @@
     Ok((link, response))
 }
 
+/// Has a server copy a generation's memory, and returns the body of its answer if it did.
+pub async fn copy(server: SocketAddr, call: Copying) -> Option<Bytes> {
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri(call.path.as_str())
+        .header(HOST, server.to_string())
+        .header(CONTENT_TYPE, "application/json")
+        .body(Full::from(call.body))
+        .ok()?;
+    let (_link, response) = exchange(server, request).await.ok()?;
+    if response.status() != StatusCode::OK {
+        return None;
+    }
+    let body = Limited::new(response.into_body(), BUFFER_BYTES);
+    Some(body.collect().await.ok()?.to_bytes())
+}
+
+/// Tells a server that a copy is not needed any more.
+///
+/// # Errors
+///
+/// If it can't be reached or does not answer.
+pub async fn release(server: SocketAddr, path: &str) -> Result<(), Fault> {
+    let request = Request::builder()
+        .method(Method::DELETE)
+        .uri(path)
+        .header(HOST, server.to_string())
+        .body(Full::default())
+        .map_err(|_| Fault::Unreachable)?;
+    exchange(server, request).await.map(|_| ())
+}
+
 /// Has the system close a connection whose other end no longer answers, as after a partition.
 pub fn watch_for_silence(stream: &TcpStream) {
     let socket = SockRef::from(stream);
--- a/crates/exchange/src/relay.rs
+++ b/crates/exchange/src/relay.rs
@@ -1,6 +1,7 @@
 //! One request, from its header to the end of its answer.
 
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::Context;
@@ -37,13 +38,18 @@
 use tokio::sync::SemaphorePermit;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 use wigeon_core::Event;
 use wigeon_core::Failure;
+use wigeon_core::Handle;
 use wigeon_core::Input;
+use wigeon_core::Kept;
 use wigeon_core::Outcome;
 use wigeon_core::message::Dispatch;
 use wigeon_core::outcome::Reason;
+use wire::AttemptId;
 use wire::RequestId;
+use wire::admission::Place;
 use xtra::Address;
 
 use crate::codec::Attempt;
@@ -70,6 +76,11 @@
 /// Silence of a server in the middle of a stream after which the generation goes on from its copy.
 /// Engines send an event every 30 to 90 ms; one that is silent for this long is dead or cut off.
 const SILENCE: Duration = Duration::from_millis(700);
+/// Longest time for one copy of a generation's memory. Some 70 MB take 200 ms on a link of their own.
+const COPY_TIME: Duration = Duration::from_millis(2_500);
+/// Time between two copies of what is new of a generation. What a copy lacks is read again before the
+/// stream goes on: 14 tokens take a millisecond, and a second brings some 60.
+const COPY_PERIOD: Duration = Duration::from_millis(800);
 /// Bytes of one permit of the memory for bodies.
 const PERMIT_BYTES: usize = 1_024;
 
@@ -360,6 +371,45 @@
     server: wire::Name,
     attempts: u32,
     progress: Progress,
+    copying: Option<Copying>,
+    handle: Option<Handle>,
+}
+
+/// A copy of a generation's memory that is kept at a server by calls from time to time.
+struct Copying {
+    attempt: AttemptId,
+    place: Place,
+    stage: Stage,
+}
+
+/// A call that makes a copy, and what it returns: the copy's name, or nothing.
+type CopyCall = JoinHandle<Option<wire::Name>>;
+
+enum Stage {
+    /// A call is under way.
+    Calling(CopyCall),
+    /// The next call waits for its time.
+    Waiting(Pin<Box<tokio::time::Sleep>>),
+}
+
+impl Copying {
+    /// Waits until a call has ended, or the next one is due.
+    async fn next(copying: &mut Option<Copying>) -> Copied {
+        match copying.as_mut().map(|copying| &mut copying.stage) {
+            // A call that panicked made no copy that anybody could name.
+            Some(Stage::Calling(call)) => Copied::Ended(call.await.unwrap_or(None)),
+            Some(Stage::Waiting(sleep)) => {
+                sleep.await;
+                Copied::Due
+            }
+            None => std::future::pending().await,
+        }
+    }
+}
+
+enum Copied {
+    Ended(Option<wire::Name>),
+    Due,
 }
 
 /// How far a stream has come.
@@ -445,6 +495,8 @@
             server: wire::Name::default(),
             attempts: 0,
             progress,
+            copying: None,
+            handle: None,
         }
     }
 
@@ -467,7 +519,7 @@
                     }
                 }
                 Order::Finish(outcome) => return self.refuse(&outcome),
-                Order::Cancel(_) | Order::Orphan => {}
+                Order::Cancel(_) | Order::Copy(..) | Order::Orphan => {}
             }
         }
     }
@@ -498,7 +550,7 @@
             tokio::select! {
                 tried = &mut trying => return Some(tried),
                 order = self.orders.recv() => match order {
-                    Some(Order::Orphan) => {}
+                    Some(Order::Orphan | Order::Copy(..)) => {}
                     Some(Order::Cancel(attempt)) if attempt != dispatch.attempt => {}
                     Some(order) => {
                         self.pending.push_back(order);
@@ -671,7 +723,7 @@
                 frame = source.body.frame() => frame,
                 () = out.closed() => return,
                 order = self.orders.recv() => {
-                    if let Some(Order::Orphan) = order {
+                    if let Some(Order::Orphan | Order::Copy(..)) = order {
                         continue;
                     }
                     let _ = out.send(Err(Broken)).await;
@@ -731,11 +783,19 @@
                 () = out.closed() => return,
                 order = next_of(&mut self.pending, &mut self.orders) => match order {
                     Order::Dispatch(next) => {
+                        self.copying = None;
+                        if next.resumes.as_ref().is_some_and(|kept| kept.handle == self.handle) {
+                            // It is used up by going on from it.
+                            self.handle = None;
+                        }
                         source = self.go_on(&next, &out).await;
                         dispatch = next;
                     }
+                    Order::Copy(attempt, place) if attempt == dispatch.attempt => {
+                        self.copy_to(&dispatch, place);
+                    }
                     Order::Cancel(attempt) if attempt == dispatch.attempt => source = None,
-                    Order::Cancel(_) | Order::Orphan => {}
+                    Order::Cancel(_) | Order::Copy(..) | Order::Orphan => {}
                     Order::Finish(outcome) => {
                         let (_, reason) = words(&outcome);
                         self.end("failed", reason, StatusCode::OK);
@@ -743,6 +803,9 @@
                         return;
                     }
                 },
+                copied = Copying::next(&mut self.copying) => {
+                    self.take_copied(&dispatch, copied).await;
+                }
                 piece = next_piece(&mut source, silence), if queue.len() < EVENTS_QUEUED => {
                     match piece {
                         Piece::Event(event) => {
@@ -775,6 +838,95 @@
         }
     }
 
+    /// Begins to keep a copy at a place, instead of any other.
+    fn copy_to(&mut self, dispatch: &Dispatch, place: Place) {
+        let call = self.copy_call(dispatch.address, &place);
+        self.copying = Some(Copying {
+            attempt: dispatch.attempt,
+            place,
+            stage: Stage::Calling(call),
+        });
+    }
+
+    /// Has the servers free the memory of a copy that was ordered. It would take up room for seconds.
+    fn release_copy(&mut self) {
+        let Some(handle) = self.handle.take() else {
+            return;
+        };
+        let path = (self.shared.codec.release)(&handle);
+        tokio::spawn(async move {
+            let releasing = link::release(handle.source, path.as_str());
+            // Where this fails the server frees the copy by itself, later.
+            let _ = tokio::time::timeout(COPY_TIME, releasing).await;
+        });
+    }
+
+    fn copy_call(&self, source: SocketAddr, place: &Place) -> CopyCall {
+        let call = (self.shared.codec.copy)(&self.call, place);
+        let copied = self.shared.codec.copied;
+        tokio::spawn(async move {
+            let copying = link::copy(source, call);
+            let body = tokio::time::timeout(COPY_TIME, copying)
+                .await
+                .ok()
+                .flatten()?;
+            copied(&body)
+        })
+    }
+
+    /// Tells the decider of a copy, and has it brought up to date when its time has come.
+    async fn take_copied(&mut self, dispatch: &Dispatch, copied: Copied) {
+        let Some(mut copying) = self.copying.take() else {
+            return;
+        };
+        if copying.attempt != dispatch.attempt {
+            return;
+        }
+        match copied {
+            Copied::Due => {
+                let call = self.copy_call(dispatch.address, &copying.place);
+                copying.stage = Stage::Calling(call);
+                self.copying = Some(copying);
+            }
+            Copied::Ended(Some(name)) => {
+                self.log_copy(dispatch, &copying.place, true);
+                let handle = Handle {
+                    source: dispatch.address,
+                    name,
+                };
+                if self.handle.as_ref() != Some(&handle) {
+                    self.release_copy();
+                }
+                self.handle = Some(handle.clone());
+                let kept = Kept {
+                    place: copying.place.clone(),
+                    handle: Some(handle),
+                };
+                self.tell(dispatch, Event::Copied(kept)).await;
+                copying.stage = Stage::Waiting(Box::pin(tokio::time::sleep(COPY_PERIOD)));
+                self.copying = Some(copying);
+            }
+            Copied::Ended(None) => {
+                self.log_copy(dispatch, &copying.place, false);
+                self.tell(dispatch, Event::NotCopied).await;
+            }
+        }
+    }
+
+    fn log_copy(&self, dispatch: &Dispatch, place: &Place, made: bool) {
+        let now = self.shared.clock.now();
+        if self.shared.gate.allows(now, made) {
+            log::info!(
+                id = self.call.label.as_str(),
+                server = dispatch.server.as_str(),
+                copy = place.server.as_str(),
+                made = made,
+                events = self.progress.events;
+                "relay: Copied."
+            );
+        }
+    }
+
     /// Makes the attempt by which a stream goes on. Returns its source, or tells the decider that there
     /// is none.
     async fn go_on(
@@ -842,6 +994,7 @@
 
     fn note_end(&mut self, outcome: &'static str, reason: &'static str, status: StatusCode) {
         let now = self.shared.clock.now();
+        self.release_copy();
         if let Some(busy) = self.busy.take() {
             busy.end(now);
         }
@@ -884,7 +1037,7 @@
             life = dispatch.boot,
             attempt = self.attempts,
             copy = copy,
-            resumes = dispatch.resumes,
+            resumes = dispatch.resumes.is_some(),
             after = self.progress.last_id.unwrap_or(0),
             waited_ms = millis(now - self.arrived);
             "relay: Sent."
--- a/crates/gateway/src/decider.rs
+++ b/crates/gateway/src/decider.rs
@@ -24,6 +24,7 @@
 use wire::InstanceId;
 use wire::Name;
 use wire::RequestId;
+use wire::admission::Place;
 use wire::gossip::Entry;
 use xtra::Actor;
 use xtra::Address;
@@ -41,6 +42,8 @@
     Dispatch(Dispatch),
     /// Stop an attempt.
     Cancel(AttemptId),
+    /// Have the server of an attempt copy the generation's memory.
+    Copy(AttemptId, Place),
     /// The request has ended.
     Finish(Outcome),
     /// The decider has been replaced and knows nothing of what runs.
@@ -186,6 +189,11 @@
             Output::Cancel { request, attempt } => {
                 links.relays.order(request, Order::Cancel(attempt));
             }
+            Output::Copy {
+                request,
+                attempt,
+                place,
+            } => links.relays.order(request, Order::Copy(attempt, place)),
             Output::Finish { request, outcome } => {
                 links.relays.order(request, Order::Finish(outcome));
             }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -192,6 +192,8 @@
         match order {
             Order::Dispatch(dispatch) => self.dispatch(dispatch).await,
             Order::Cancel(attempt) => self.cancel(attempt),
+            // Engines on this interface keep no copies: a lost generation is run anew and compared.
+            Order::Copy(attempt, _) => self.tell(attempt, Event::NotCopied).await,
             Order::Orphan => {
                 self.orphan = true;
                 if self.attempt.is_none() {
--- a/crates/soak/src/world/node.rs
+++ b/crates/soak/src/world/node.rs
@@ -84,6 +84,8 @@
                     }
                 }
             }
+            // The engines of these runs keep no copies, and their pools ask for none.
+            Output::Copy { .. } => {}
             Output::Finish { request, outcome } => self.finish(index, request, &outcome),
             Output::Send { address, to, body } => self.send(index, address, to, body),
             Output::Store(sent) => {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -181,6 +181,20 @@
         /// The configuration.
         json: Vec<u8>,
     },
+    /// Tells a holder where a copy of a running attempt's memory is to be kept from now on.
+    CopyTo {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Where.
+        place: admission::Place,
+    },
+    /// Tells a home that the copy of a running attempt's memory could not be made.
+    NoCopy {
+        /// The attempt.
+        attempt: AttemptId,
+        /// The pool.
+        pool: Name,
+    },
     /// Asks for the whole list of backend servers.
     FetchRoster,
     /// What has changed in the list of backend servers.
