--- a/crates/core/src/serve.rs
+++ b/crates/core/src/serve.rs
@@ -198,6 +198,7 @@
             first_token: None,
             generated: job.delivered(),
             begun: job.delivered(),
+            resumed: resumes.is_some(),
             copy: grant.copy.clone().map(|place| Kept {
                 place,
                 handle: None,
@@ -343,6 +344,16 @@
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
+        let resumed = job.running().is_some_and(|running| running.resumed);
+        if resumed {
+            // What did not run is the rest. The beginning has run, whether it can go on or not.
+            if job.may_run_again() {
+                self.wait_for_retry(id, Duration::ZERO);
+            } else {
+                self.end(id, Reason::Lost, None);
+            }
+            return;
+        }
         job.note_not_run();
         if let Some(server) = job.running().map(|running| running.server.clone()) {
             job.avoid(&server);
--- /dev/null
+++ b/crates/core/tests/driver/mod.rs
@@ -0,0 +1,203 @@
+//! Drives one instance by hand, with a configuration and a list of servers that are handed in.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use conf::Config;
+use conf::Delivery;
+use conf::Name;
+use conf::Pool;
+use conf::Route;
+use wigeon_core::Event;
+use wigeon_core::Input;
+use wigeon_core::Instance;
+use wigeon_core::Outcome;
+use wigeon_core::Output;
+use wigeon_core::Request;
+use wigeon_core::ServerReport;
+use wigeon_core::Settings;
+use wigeon_core::Source;
+use wigeon_core::message::Dispatch;
+use wire::admission::Place;
+use wire::roster::Roster;
+use wire::roster::Server;
+
+pub const START: Duration = Duration::from_secs(20);
+const WALL: Duration = Duration::from_secs(1_700_000_000);
+const MEMORY_TOKENS: u64 = 30_000;
+
+pub struct Driver {
+    pub instance: Instance,
+    pub now: Duration,
+    pub servers: Vec<Server>,
+    pub outputs: Vec<Output>,
+    revision: u64,
+}
+
+/// A stream that must not run twice, with a copy of each generation.
+pub fn letters() -> Route {
+    Route {
+        pool: "engines".into(),
+        delivery: Delivery::Stream,
+        idempotent: false,
+        rerun: false,
+        deadline_ms: 1_200,
+        timeout_ms: 39_000,
+        attempts: 1,
+        ..Route::default()
+    }
+}
+
+pub fn server(name: &str, boot: u64) -> Server {
+    let last: u8 = name.bytes().last().unwrap_or_default();
+    Server {
+        name: name.into(),
+        data_centre: "east".into(),
+        label: "engines".into(),
+        address: ([127, 0, 0, last], 80).into(),
+        boot,
+        leaving: false,
+        reclaimed: false,
+        cold_ms: 0,
+    }
+}
+
+impl Driver {
+    pub fn new(route: Route, servers: &[&str]) -> Driver {
+        let settings = Settings {
+            source: Source::Shell,
+            ..Settings::example("i1", "east", 1)
+        };
+        let mut driver = Driver {
+            instance: Instance::new(settings),
+            now: START,
+            servers: servers.iter().map(|name| server(name, 1)).collect(),
+            outputs: Vec::new(),
+            revision: 10,
+        };
+        let pool = Pool {
+            batch: 24,
+            cold_limit: 24,
+            memory_tokens: MEMORY_TOKENS,
+            copies: true,
+            stride: 4,
+            ..Pool::default()
+        };
+        let mut config = Config {
+            version: 5,
+            ..Config::default()
+        };
+        config.pools.insert("engines".into(), pool);
+        config.routes.insert("letters".into(), route);
+        driver.input(Input::Adopt(Arc::new(config)));
+        driver.list();
+        // A new home learns what runs before it grants anything.
+        driver.pass(Duration::from_secs(2));
+        driver.outputs.clear();
+        driver
+    }
+
+    pub fn input(&mut self, input: Input) {
+        let outputs = self.instance.handle(self.now, WALL + self.now, input);
+        for output in outputs {
+            if let Output::Probe { server, asked, .. } = &output {
+                self.report(server.clone(), *asked);
+            }
+            self.outputs.push(output);
+        }
+    }
+
+    fn report(&mut self, name: Name, asked: Duration) {
+        let Some(server) = self.servers.iter().find(|server| server.name == name) else {
+            return;
+        };
+        let report = ServerReport {
+            load: admit::Load {
+                boot: server.boot,
+                capacity: MEMORY_TOKENS,
+                ..admit::Load::default()
+            },
+            ready: true,
+            ..ServerReport::default()
+        };
+        self.input(Input::Report(name, asked, Some(report)));
+    }
+
+    pub fn list(&mut self) {
+        self.revision += 1;
+        let roster = Roster {
+            after: 0,
+            revision: self.revision,
+            servers: self.servers.clone(),
+            gone: Vec::new(),
+        };
+        self.input(Input::Roster(roster));
+    }
+
+    pub fn pass(&mut self, time: Duration) {
+        let until = self.now + time;
+        while self.now < until {
+            let step = Duration::from_millis(20);
+            self.now = (self.now + step).min(until);
+            self.input(Input::Wake);
+        }
+    }
+
+    pub fn request(&mut self, id: u64) {
+        let request = Request {
+            id,
+            organisation: "shop".into(),
+            route: "letters".into(),
+            key: None,
+            fingerprint: id,
+            prompt: 2_000,
+            prefixes: Vec::new(),
+            limit: None,
+            expected: Some(900),
+            patience: Some(Duration::from_secs(39)),
+        };
+        self.input(Input::Request(request));
+    }
+
+    /// Takes the newest dispatch of a request.
+    pub fn dispatch(&mut self, id: u64) -> Option<Dispatch> {
+        let found = self.outputs.iter().rposition(
+            |output| matches!(output, Output::Dispatch(dispatch) if dispatch.request == id),
+        )?;
+        match self.outputs.remove(found) {
+            Output::Dispatch(dispatch) => Some(dispatch),
+            _ => None,
+        }
+    }
+
+    pub fn outcome(&self, id: u64) -> Option<&Outcome> {
+        self.outputs.iter().find_map(|output| match output {
+            Output::Finish { request, outcome } if *request == id => Some(outcome),
+            _ => None,
+        })
+    }
+
+    pub fn copy_order(&self, attempt: u64) -> Option<&Place> {
+        self.outputs.iter().rev().find_map(|output| match output {
+            Output::Copy {
+                attempt: of, place, ..
+            } if *of == attempt => Some(place),
+            _ => None,
+        })
+    }
+
+    pub fn event(&mut self, dispatch: &Dispatch, event: Event) {
+        self.input(Input::Attempt(dispatch.attempt, event));
+    }
+
+    /// Lets an attempt run until its caller has some tokens.
+    pub fn run(&mut self, dispatch: &Dispatch, tokens: u32) {
+        self.event(dispatch, Event::Started);
+        let progress = Event::Progress {
+            generated: tokens,
+            delivered: tokens,
+        };
+        self.event(dispatch, progress);
+        self.pass(Duration::from_millis(60));
+    }
+}
