Turn away at once what a stop would cut or no server can be reached for

Now a generation that would outlast the grace is turned away with a short Retry-After, a connection that was not made spends no retry, a server that was just not reached is left alone, and a request that has tried them all is turned away.

--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -103,6 +103,7 @@
     pub(crate) meter: Meter,
     pub(crate) baseline: Baseline,
     pub(crate) leaving: bool,
+    pub(crate) leaves_at: Option<Time>,
     pub(crate) inbox: VecDeque<(AttemptId, Verdict)>,
     pub(crate) out: Vec<Output>,
     violations: BTreeMap<Violation, u64>,
@@ -139,6 +140,7 @@
             meter: Meter::default(),
             baseline: Baseline::default(),
             leaving: false,
+            leaves_at: None,
             inbox: VecDeque::new(),
             out: Vec::new(),
             violations: BTreeMap::new(),
@@ -324,6 +326,7 @@
             return;
         }
         self.leaving = true;
+        self.leaves_at = self.settings.grace.map(|grace| self.now + grace);
         self.members.leave();
         self.log("core", false, "Leaving: no new work for others.".into());
         self.refresh_homes();
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -124,6 +124,10 @@
     pub avoid: Vec<Name>,
     /// Retries so far.
     pub retries: u32,
+    /// Attempts that did not reach their server.
+    pub unreached: u32,
+    /// Whether the last attempt did not reach its server.
+    pub unsent: bool,
     /// Attempts dispatched so far.
     pub attempts: u32,
     /// Where a copy of a lost generation's memory is kept, from which it is to go on.
@@ -153,6 +157,8 @@
             orphaned: false,
             avoid: Vec::new(),
             retries: 0,
+            unreached: 0,
+            unsent: false,
             attempts: 0,
             kept: None,
             class,
--- a/crates/core/src/local.rs
+++ b/crates/core/src/local.rs
@@ -11,6 +11,8 @@
 
 use crate::instance::Instance;
 use crate::message::ListedServer;
+use crate::outcome::Reason;
+use crate::serve::UNREACHABLE_PAUSE;
 
 /// Pause before an instance looks again for a server that may take work.
 const NOBODY_PAUSE: std::time::Duration = std::time::Duration::from_millis(50);
@@ -47,11 +49,23 @@
             .filter(|server| self.may_take_work(&server.data_centre, &server.name))
             .cloned()
             .collect();
-        let fresh: Vec<&ListedServer> = open.iter().filter(|s| !avoid.contains(&s.name)).collect();
-        let candidates = if fresh.is_empty() {
-            open.iter().collect()
-        } else {
+        // Those that were just not reached come last, whoever tried.
+        let shunned = |server: &ListedServer| {
+            avoid.contains(&server.name) || self.health.is_unreachable(self.now, &server.name)
+        };
+        let fresh: Vec<&ListedServer> = open.iter().filter(|server| !shunned(server)).collect();
+        let untried: Vec<&ListedServer> =
+            open.iter().filter(|s| !avoid.contains(&s.name)).collect();
+        let candidates = if !fresh.is_empty() {
             fresh
+        } else if !untried.is_empty() {
+            untried
+        } else if self.jobs[&id].unreached > 0 {
+            // None of them can be reached, and waiting does not change that soon.
+            self.end(id, Reason::NoServer, Some(UNREACHABLE_PAUSE));
+            return;
+        } else {
+            open.iter().collect()
         };
         let mut best: Option<(f64, &ListedServer)> = None;
         for server in candidates {
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -37,6 +37,8 @@
     ServerError,
     /// The time that its caller or its route allows is over.
     TimedOut,
+    /// The instance is about to stop, before its answer would end.
+    Leaving,
 }
 
 impl Reason {
@@ -57,6 +59,7 @@
             Reason::Cancelled => "cancelled",
             Reason::ServerError => "server-error",
             Reason::TimedOut => "timed-out",
+            Reason::Leaving => "leaving",
         }
     }
 }
--- a/crates/core/src/serve.rs
+++ b/crates/core/src/serve.rs
@@ -5,6 +5,7 @@
 use burn::Sample;
 use clock::Time;
 use conf::Delivery;
+use conf::Service;
 use suspect::Standing;
 use wire::AttemptId;
 use wire::Body;
@@ -41,6 +42,19 @@
 /// Tokens of an attempt after which a crash of its server is not put down to it: a request that crashes
 /// servers does so when they begin to run it.
 const TRIAL_TOKENS: u32 = 32;
+/// Time of one token on an engine at work, for an estimate of how long an answer takes.
+const TOKEN_TIME: Duration = Duration::from_millis(9);
+/// Time until the first token, for the same estimate.
+const PROMPT_TIME: Duration = Duration::from_millis(500);
+/// Time after which a caller finds another instance: the balancer sends its next connection there.
+const ELSEWHERE_PAUSE: Duration = Duration::from_millis(20);
+/// Time after which a server may be reached that could not be.
+pub(crate) const UNREACHABLE_PAUSE: Duration = Duration::from_millis(1_000);
+/// Time after which there may be a retry left in the budget.
+const NO_BUDGET_PAUSE: Duration = Duration::from_millis(500);
+/// Servers that a request fails to reach before it is turned away: each takes up the time of a
+/// connection that is not made.
+const UNREACHED_MAX: u32 = 4;
 /// Pause before a suspect is tried again, so that strikes of the same crash have spread.
 const SUSPECT_PAUSE: Duration = Duration::from_millis(300);
 
@@ -76,6 +90,8 @@
         self.jobs.insert(id, job);
         if self.suspects.standing(self.now, fingerprint) == Standing::Barred {
             self.end_barred(id);
+        } else if self.would_be_cut(id) {
+            self.end(id, Reason::Leaving, Some(ELSEWHERE_PAUSE));
         } else if claims {
             self.send_claim(id);
         } else {
@@ -101,6 +117,21 @@
         self.forget(id, Reason::Cancelled);
     }
 
+    /// Returns whether this instance stops before a request's answer is expected to end. Its caller is
+    /// better off with another instance at once than with a part of an answer.
+    fn would_be_cut(&self, id: RequestId) -> bool {
+        let Some(leaves_at) = self.leaves_at else {
+            return false;
+        };
+        let job = &self.jobs[&id];
+        let engine = self.config().pools.get(&job.route.pool);
+        if engine.is_none_or(|pool| pool.service == Service::Plain) {
+            return false;
+        }
+        let takes = TOKEN_TIME * self.hint(job) + PROMPT_TIME;
+        self.now + takes > leaves_at
+    }
+
     /// Gives the job's timer a new time.
     pub(crate) fn set_due(&mut self, id: RequestId, due: Time) {
         if let Some(job) = self.jobs.get_mut(&id) {
@@ -355,8 +386,14 @@
             return;
         }
         job.note_not_run();
-        if let Some(server) = job.running().map(|running| running.server.clone()) {
+        let server = job.running().map(|running| running.server.clone());
+        if let Some(server) = server {
             job.avoid(&server);
+            if end == End::Unreachable {
+                job.unreached += 1;
+                job.unsent = true;
+                self.health.note_unreachable(self.now, &server);
+            }
         }
         self.wait_for_retry(id, Duration::ZERO);
     }
@@ -465,9 +502,18 @@
             self.end_barred(id);
             return;
         }
+        // A server that was not reached got nothing, so going to another one is no retry for the pool.
+        if std::mem::take(&mut job.unsent) {
+            if job.unreached >= UNREACHED_MAX && self.settings.source == Source::Shell {
+                self.end(id, Reason::NoServer, Some(UNREACHABLE_PAUSE));
+            } else {
+                self.seek(id);
+            }
+            return;
+        }
         if !self.budgets.entry(pool).or_default().spend() {
-            if job.may_have_run() && self.settings.source == Source::Shell {
-                self.end(id, Reason::RetriesSpent, None);
+            if self.settings.source == Source::Shell {
+                self.end(id, Reason::RetriesSpent, Some(NO_BUDGET_PAUSE));
                 return;
             }
             self.set_due(id, self.now + BUDGET_PAUSE);
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -74,6 +74,8 @@
     pub source: Source,
     /// Time between two probes of a server by its home.
     pub probe_period: Duration,
+    /// Time from being told to leave until running work is cut, or nothing where it never is.
+    pub grace: Option<Duration>,
 }
 
 /// Time between two probes of a server by its home. Engines report with a lag of some 100 ms, so more
@@ -114,6 +116,7 @@
             strict: true,
             source: Source::Store,
             probe_period: PROBE_PERIOD_DEFAULT,
+            grace: None,
         }
     }
 }
--- a/crates/exchange/src/link.rs
+++ b/crates/exchange/src/link.rs
@@ -25,7 +25,7 @@
 
 /// Longest wait for a connection. Data centres are some milliseconds apart; a first packet that was
 /// dropped is repeated after a second only, by when another server has long answered.
-const CONNECT_TIME: Duration = Duration::from_millis(300);
+const CONNECT_TIME: Duration = Duration::from_millis(150);
 /// Time without an answer to sent bytes after which a connection counts as dead.
 const SILENT_TIME: Duration = Duration::from_millis(3_000);
 /// Time between two probes of an idle connection.
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -455,9 +455,11 @@
     match reason {
         Reason::NoRoute => StatusCode::NOT_FOUND,
         Reason::Limited => StatusCode::TOO_MANY_REQUESTS,
-        Reason::Overloaded | Reason::NoServer | Reason::NoLedger | Reason::RetriesSpent => {
-            StatusCode::SERVICE_UNAVAILABLE
-        }
+        Reason::Overloaded
+        | Reason::NoServer
+        | Reason::NoLedger
+        | Reason::RetriesSpent
+        | Reason::Leaving => StatusCode::SERVICE_UNAVAILABLE,
         Reason::KeyInUse | Reason::KeyUnknown => StatusCode::CONFLICT,
         Reason::Barred => StatusCode::UNPROCESSABLE_ENTITY,
         Reason::Lost | Reason::Diverged | Reason::ServerError => StatusCode::BAD_GATEWAY,
@@ -481,6 +483,7 @@
         Reason::Diverged => "the answer could not be continued by the same tokens",
         Reason::Cancelled => "the caller went away",
         Reason::ServerError => "the backend server answered that it failed",
+        Reason::Leaving => "this instance stops before the answer would end",
         Reason::TimedOut => "the time allowed for the request is over",
     }
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -265,5 +265,6 @@
         strict: false,
         source: wigeon_core::Source::Store,
         probe_period: wigeon_core::settings::PROBE_PERIOD_DEFAULT,
+        grace: settings.shutdown_limit,
     }
 }
--- a/crates/route/src/health.rs
+++ b/crates/route/src/health.rs
@@ -15,6 +15,8 @@
 const HALF_LIFE: Duration = Duration::from_secs(4);
 /// Weight of the ends that are believed of a server of which nothing is known.
 const PRIOR: f64 = 4.0;
+/// Time for which a server that could not be reached is left alone while there are others.
+const UNREACHABLE_TIME: Duration = Duration::from_millis(1_500);
 /// Most servers that are remembered.
 const SERVERS_MAX: usize = 1_024;
 
@@ -30,6 +32,7 @@
     good: f64,
     bad: f64,
     at: Time,
+    unreachable_at: Option<Time>,
 }
 
 impl Ends {
@@ -40,6 +43,7 @@
             good: self.good * left,
             bad: self.bad * left,
             at: now,
+            unreachable_at: self.unreachable_at,
         }
     }
 
@@ -70,6 +74,23 @@
         self.all.add(now, good);
     }
 
+    /// Notes that a server could not be reached.
+    pub fn note_unreachable(&mut self, now: Time, server: &str) {
+        self.note(now, server, false);
+        if let Some(ends) = self.servers.get_mut(server) {
+            ends.unreachable_at = Some(now);
+        }
+    }
+
+    /// Returns whether a server could not be reached a moment ago.
+    pub fn is_unreachable(&self, now: Time, server: &str) -> bool {
+        let at = self
+            .servers
+            .get(server)
+            .and_then(|ends| ends.unreachable_at);
+        at.is_some_and(|at| now.saturating_sub(at) < UNREACHABLE_TIME)
+    }
+
     /// Returns by how much a server's share of failures is above that of all, from 0 to 1. One of which
     /// little is known is taken to be like the others.
     pub fn excess(&self, now: Time, server: &str) -> f64 {
