--- a/crates/admit/src/cell.rs
+++ b/crates/admit/src/cell.rs
@@ -24,6 +24,8 @@
 use wire::admission::Report;
 use wire::admission::Work;
 
+use self::room::COPY_SHARE_AT_RISK;
+use self::room::COPY_SHARE_MAX;
 use self::room::GRANT_SPACING;
 use crate::queue::Queue;
 use crate::queue::Waiting;
@@ -460,7 +462,7 @@
 
     fn put(&mut self, now: Time, name: &Name, waiting: &Waiting) -> Grant {
         let ask = &waiting.ask;
-        let copy = self.choose_copy(now, name, &ask.work, &ask.avoid);
+        let copy = self.choose_copy(now, name, &ask.work, &ask.avoid, COPY_SHARE_MAX);
         let server = &self.servers[name];
         let grant = Grant {
             attempt: ask.attempt,
@@ -502,23 +504,30 @@
         }
         self.next_renewal = now + RENEWAL_PERIOD;
         let is_kept = |name: &Name| self.servers.get(name).is_some_and(Server::stays);
-        let mut bare: Vec<AttemptId> = self
+        let is_at_risk = |placed: &Placed| !is_kept(&placed.server);
+        let mut bare: Vec<(bool, u32, AttemptId)> = self
             .placed
             .iter()
             .filter(|(_, placed)| placed.confirmed && placed.given_up.is_none())
             .filter(|(_, placed)| placed.generated > 0)
             .filter(|(_, placed)| !placed.copy.as_ref().is_some_and(is_kept))
-            .map(|(attempt, _)| *attempt)
+            .map(|(attempt, placed)| (is_at_risk(placed), placed.generated, *attempt))
             .collect();
-        // Those that have come furthest lose most.
-        bare.sort_by_key(|attempt| std::cmp::Reverse(self.placed[attempt].generated));
+        // Those on a server that is about to go come first, and then those that have come furthest.
+        bare.sort_unstable_by(|a, b| b.cmp(a));
         let mut renewed = Vec::new();
-        for attempt in bare {
+        for (at_risk, _, attempt) in bare {
             if renewed.len() >= RENEWALS_MAX {
                 break;
             }
             let placed = self.placed[&attempt].clone();
-            let Some(copy) = self.choose_copy(now, &placed.server, &placed.work, &[]) else {
+            let most = if at_risk {
+                COPY_SHARE_AT_RISK
+            } else {
+                COPY_SHARE_MAX
+            };
+            let found = self.choose_copy(now, &placed.server, &placed.work, &[], most);
+            let Some(copy) = found else {
                 continue;
             };
             renewed.push((placed.holder, attempt, self.place_of(&copy)));
--- a/crates/admit/src/cell/room.rs
+++ b/crates/admit/src/cell/room.rs
@@ -22,7 +22,10 @@
 pub(super) const GRANT_SPACING: Duration = Duration::from_millis(25);
 
 /// Greatest share of a server's memory, at its predicted peak, up to which it takes copies.
-const COPY_SHARE_MAX: f64 = 0.85;
+pub(super) const COPY_SHARE_MAX: f64 = 0.85;
+/// The same for a copy of what runs on a server that is about to go. Without one it is lost for sure,
+/// while a prediction that proves true costs another generation a pause.
+pub(super) const COPY_SHARE_AT_RISK: f64 = 1.1;
 /// Least expected output of a generation of which a copy is kept, in tokens. A shorter one is run anew
 /// in less time than its copy takes on the links.
 const COPY_TOKENS_MIN: u32 = 64;
@@ -202,6 +205,7 @@
         server: &Name,
         work: &Work,
         avoid: &[Name],
+        most: f64,
     ) -> Option<Name> {
         if !self.pool.copies || work.hint < COPY_TOKENS_MIN {
             return None;
@@ -212,7 +216,7 @@
                 continue;
             }
             let here: Vec<&Placed> = self.placed.values().filter(|p| p.server == *name).collect();
-            let Some(share) = self.memory_share(other, &here, work, COPY_SHARE_MAX) else {
+            let Some(share) = self.memory_share(other, &here, work, most) else {
                 continue;
             };
             if best.as_ref().is_none_or(|(least, _)| share < *least) {
--- a/crates/core/src/home.rs
+++ b/crates/core/src/home.rs
@@ -178,6 +178,7 @@
             .filter(|server| !self.servers.get(&server.name).is_some_and(|s| s.reclaimed))
             .map(|server| server.name.clone())
             .collect();
+        self.listing.note_leaving(self.now, &servers);
         self.servers = servers;
         self.listed = true;
         self.refresh_homes();
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -182,6 +182,13 @@
         self.route.idempotent || !self.may_have_run()
     }
 
+    /// Returns whether a copy from which the generation is to go on is kept at a server.
+    pub fn is_kept_at(&self, server: &str) -> bool {
+        self.kept
+            .as_ref()
+            .is_some_and(|copy| copy.place.server == server)
+    }
+
     /// Takes the copy from which the generation goes on at a server, if there is one. It is used up.
     pub fn resume_at(&mut self, server: &str) -> Option<Kept> {
         self.kept.take_if(|copy| copy.place.server == server)
--- a/crates/core/src/listing.rs
+++ b/crates/core/src/listing.rs
@@ -30,6 +30,23 @@
 pub(crate) struct Listing {
     revision: Revision,
     heard: Option<Time>,
+    leaving: BTreeMap<Name, Time>,
+}
+
+impl Listing {
+    /// Returns when a server was first listed as about to go.
+    pub(crate) fn leaving_since(&self, server: &str) -> Option<Time> {
+        self.leaving.get(server).copied()
+    }
+
+    /// Notes which servers are listed as about to go.
+    pub(crate) fn note_leaving(&mut self, now: Time, servers: &BTreeMap<Name, ListedServer>) {
+        let leaves = |name: &Name| servers.get(name).is_some_and(|server| server.leaving);
+        self.leaving.retain(|name, _| leaves(name));
+        for name in servers.keys().filter(|name| leaves(name)) {
+            self.leaving.entry(name.clone()).or_insert(now);
+        }
+    }
 }
 
 impl Instance {
--- a/crates/core/src/serve.rs
+++ b/crates/core/src/serve.rs
@@ -55,6 +55,9 @@
 /// Servers that a request fails to reach before it is turned away: each takes up the time of a
 /// connection that is not made.
 const UNREACHED_MAX: u32 = 4;
+/// Time for which a generation may still go on at a server that said that it goes. No work may reach it
+/// two seconds after it said so; news of it takes up to a second.
+const RESUME_AT_LEAVING: Duration = Duration::from_millis(900);
 /// Pause before a suspect is tried again, so that strikes of the same crash have spread.
 const SUSPECT_PAUSE: Duration = Duration::from_millis(300);
 
@@ -204,7 +207,16 @@
 
     /// Dispatches an attempt to the server that it was granted, if that may still take work.
     pub(crate) fn dispatch(&mut self, id: RequestId, data_centre: &Name, grant: &Grant) -> bool {
-        if !self.may_take_life(data_centre, &grant.server, grant.boot) {
+        let keeps_copy = self
+            .jobs
+            .get(&id)
+            .is_some_and(|job| job.is_kept_at(&grant.server));
+        let eligible = if keeps_copy {
+            self.may_resume_at(data_centre, &grant.server)
+        } else {
+            self.may_take_life(data_centre, &grant.server, grant.boot)
+        };
+        if !eligible {
             return false;
         }
         let Some(job) = self.jobs.get_mut(&id) else {
@@ -252,7 +264,6 @@
             copy: grant.copy.clone(),
             resumes,
         }));
-        let eligible = self.may_take_life(data_centre, &grant.server, grant.boot);
         self.check(eligible, Violation::WorkAfterWithdrawal);
         self.note_started(id);
         true
@@ -268,6 +279,17 @@
         self.is_in_service(data_centre, server) && !self.home.is_leaving_life(server, boot)
     }
 
+    /// Returns whether a generation may go on at a server that keeps its copy. One that has just said
+    /// that it goes is the only place for it, and bears it until its own work ends too.
+    fn may_resume_at(&self, data_centre: &str, server: &str) -> bool {
+        let config = self.config();
+        let known = self.listing.leaving_since(server);
+        let fresh = known.is_none_or(|at| self.now.saturating_sub(at) < RESUME_AT_LEAVING);
+        let withdrawn = config.drained.contains(server);
+        let listed = self.servers.contains_key(server);
+        fresh && listed && !withdrawn && route::choice::in_service(config, data_centre)
+    }
+
     fn is_in_service(&self, data_centre: &str, server: &str) -> bool {
         let config = self.config();
         let listed = self.servers.get(server).is_some_and(|found| !found.leaving);
