--- a/crates/core/tests/driver/mod.rs
+++ b/crates/core/tests/driver/mod.rs
@@ -1,5 +1,8 @@
 //! Drives one instance by hand, with a configuration and a list of servers that are handed in.
 
+// Each file of tests uses a part of it.
+#![allow(dead_code)]
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -64,8 +67,17 @@
 
 impl Driver {
     pub fn new(route: Route, servers: &[&str]) -> Driver {
+        Driver::start(route, servers, None)
+    }
+
+    pub fn with_grace(route: Route, servers: &[&str], grace: Duration) -> Driver {
+        Driver::start(route, servers, Some(grace))
+    }
+
+    fn start(route: Route, servers: &[&str], grace: Option<Duration>) -> Driver {
         let settings = Settings {
             source: Source::Shell,
+            grace,
             ..Settings::example("i1", "east", 1)
         };
         let mut driver = Driver {
--- /dev/null
+++ b/crates/core/tests/listing.rs
@@ -0,0 +1,196 @@
+//! The list of servers, passed on from the instance that reads it to the others.
+
+use std::time::Duration;
+
+use wigeon_core::Input;
+use wigeon_core::Instance;
+use wigeon_core::Output;
+use wigeon_core::Settings;
+use wigeon_core::Source;
+use wire::Frame;
+use wire::roster::Roster;
+use wire::roster::Server;
+
+const WALL: Duration = Duration::from_secs(1_700_000_000);
+const STEP: Duration = Duration::from_millis(50);
+
+/// Instances of one data centre whose frames arrive at once, unless they are cut off.
+struct Fleet {
+    instances: Vec<Instance>,
+    now: Duration,
+    cut: Option<usize>,
+    revision: u64,
+    reads: Vec<u32>,
+}
+
+fn server(name: &str) -> Server {
+    Server {
+        name: name.into(),
+        data_centre: "east".into(),
+        label: "engines".into(),
+        address: ([127, 0, 0, 1], 80).into(),
+        boot: 1,
+        leaving: false,
+        reclaimed: false,
+        cold_ms: 0,
+    }
+}
+
+impl Fleet {
+    fn new(count: u64) -> Fleet {
+        let settings = |id| Settings {
+            source: Source::Shell,
+            ..Settings::example(&format!("i{id}"), "east", id)
+        };
+        let instances: Vec<Instance> = (1..=count).map(|id| Instance::new(settings(id))).collect();
+        let listed: Vec<wigeon_core::Listed> = (1..=count)
+            .map(|id| {
+                let own = settings(id).own;
+                wigeon_core::Listed::Instance(member::Listed {
+                    name: own.name,
+                    data_centre: own.data_centre,
+                    peers: own.peers,
+                    leaving: false,
+                })
+            })
+            .collect();
+        let mut fleet = Fleet {
+            reads: vec![0; instances.len()],
+            instances,
+            now: Duration::from_secs(1),
+            cut: None,
+            revision: 0,
+        };
+        for index in 0..fleet.instances.len() {
+            fleet.input(index, Input::List(listed.clone()));
+        }
+        fleet
+    }
+
+    fn input(&mut self, index: usize, input: Input) {
+        let outputs = self.instances[index].handle(self.now, WALL + self.now, input);
+        let from = self.instances[index].id();
+        for output in outputs {
+            let Output::Send { address, body, .. } = output else {
+                continue;
+            };
+            let to = self.instances.iter().position(|one| {
+                one.entry(one.id())
+                    .is_some_and(|entry| entry.peers == address)
+            });
+            let Some(to) = to.filter(|to| *to != index) else {
+                continue;
+            };
+            if self.cut.is_some_and(|cut| cut == index || cut == to) {
+                continue;
+            }
+            let frame = Frame {
+                from,
+                to: self.instances[to].id(),
+                seq: 1,
+                wall_ms: 0,
+                body,
+            };
+            self.input(to, Input::Frame(frame));
+        }
+    }
+
+    /// Lets time pass. Whoever should read the list reads it each 400 ms, except one that the store
+    /// turns away.
+    fn pass(&mut self, time: Duration, servers: &[Server], refused: Option<usize>) {
+        let until = self.now + time;
+        while self.now < until {
+            self.now += STEP;
+            for index in 0..self.instances.len() {
+                self.input(index, Input::Wake);
+            }
+            if !self.now.as_millis().is_multiple_of(400) {
+                continue;
+            }
+            for index in 0..self.instances.len() {
+                if self.instances[index].reads_list() && refused != Some(index) {
+                    self.reads[index] += 1;
+                    self.revision += 1;
+                    let roster = Roster {
+                        after: 0,
+                        revision: self.revision,
+                        servers: servers.to_vec(),
+                        gone: Vec::new(),
+                    };
+                    self.input(index, Input::Roster(roster));
+                }
+            }
+        }
+    }
+
+    fn lists(&self) -> Vec<Vec<String>> {
+        let names = |instance: &Instance| {
+            let state = |one: &Server| if one.leaving { "-" } else { "" };
+            instance
+                .servers()
+                .map(|one| format!("{}{}", one.name, state(one)))
+                .collect()
+        };
+        self.instances.iter().map(names).collect()
+    }
+}
+
+#[test]
+fn one_instance_reads_and_all_of_them_know() {
+    let mut fleet = Fleet::new(4);
+    let mut servers = vec![server("a"), server("b")];
+    fleet.pass(Duration::from_secs(4), &servers, None);
+    fleet.reads.fill(0);
+    fleet.pass(Duration::from_secs(4), &servers, None);
+    let readers = fleet.reads.iter().filter(|reads| **reads > 0).count();
+    assert_eq!(readers, 1, "{:?}", fleet.reads);
+
+    servers[0].leaving = true;
+    servers.push(server("c"));
+    fleet.pass(Duration::from_secs(1), &servers, None);
+    assert!(
+        fleet.lists().iter().all(|list| *list == ["a-", "b", "c"]),
+        "{:?}",
+        fleet.lists()
+    );
+    servers.remove(1);
+    fleet.pass(Duration::from_secs(1), &servers, None);
+    assert!(
+        fleet.lists().iter().all(|list| *list == ["a-", "c"]),
+        "{:?}",
+        fleet.lists()
+    );
+}
+
+#[test]
+fn reader_that_the_store_turns_away_is_replaced_and_still_told() {
+    let mut fleet = Fleet::new(3);
+    let mut servers = vec![server("a")];
+    fleet.pass(Duration::from_secs(4), &servers, None);
+    fleet.reads.fill(0);
+    fleet.pass(Duration::from_secs(1), &servers, None);
+    let reader = fleet.reads.iter().position(|reads| *reads > 0);
+    servers[0].leaving = true;
+    fleet.pass(Duration::from_secs(2), &servers, reader);
+    assert!(
+        fleet.lists().iter().all(|list| *list == ["a-"]),
+        "{:?}",
+        fleet.lists()
+    );
+}
+
+#[test]
+fn instance_that_missed_changes_gets_the_whole_list() {
+    let mut fleet = Fleet::new(3);
+    let mut servers = vec![server("a"), server("b")];
+    fleet.pass(Duration::from_secs(4), &servers, None);
+    fleet.cut = Some(2);
+    servers.remove(0);
+    servers.push(server("c"));
+    // Cut off from the others and turned away by the store, it keeps what it knew.
+    fleet.pass(Duration::from_secs(1), &servers, Some(2));
+    assert_eq!(fleet.lists()[2], ["a", "b"]);
+    fleet.cut = None;
+    fleet.pass(Duration::from_secs(3), &servers, Some(2));
+    assert_eq!(fleet.lists()[2], ["b", "c"]);
+}
