Replay the worst load on the decisions that place work, and split the cell by job

Tests for prompts that come at once, cold servers, new lives, copies under pressure and at risk. The cell's copies and its tests have files of their own; nothing else changed.

--- /dev/null
+++ b/crates/admit/src/cell/copies.rs
@@ -0,0 +1,113 @@
+//! Copies of running generations' memory, kept at a second server.
+//!
+//! Load pattern: engines are reclaimed all day with two seconds' notice, so that two in five long
+//! generations lose theirs. One that may not run twice can only go on from a copy of its memory. Copies
+//! take up room like what runs, so they are kept while there is room to spare; what runs on a server that
+//! is about to go comes first, and is given room that others would not get.
+
+use std::time::Duration;
+
+use clock::Time;
+use wire::AttemptId;
+use wire::InstanceId;
+use wire::Name;
+use wire::admission::Place;
+use wire::admission::Work;
+
+use super::Cell;
+use super::Placed;
+use crate::server::Server;
+
+/// Greatest share of a server's memory, at its predicted peak, up to which it takes copies.
+pub(super) const COPY_SHARE_MAX: f64 = 0.85;
+/// The same for a copy of what runs on a server that is about to go. Without one it is lost for sure,
+/// while a prediction that proves true costs another generation a pause.
+const COPY_SHARE_AT_RISK: f64 = 1.1;
+/// Least expected output of a generation of which a copy is kept, in tokens. A shorter one is run anew
+/// in less time than its copy takes on the links.
+const COPY_TOKENS_MIN: u32 = 64;
+/// Time between two looks for copies to be renewed: a server that leaves says so two seconds before.
+const RENEWAL_PERIOD: Duration = Duration::from_millis(100);
+/// Copies renewed in one look. One takes some 200 ms on a link.
+const RENEWALS_MAX: usize = 4;
+
+impl Cell {
+    /// Returns the running attempts whose memory is to be copied to a new place: those whose copy is on
+    /// a server that is about to go or has gone, and those that have none because there was no room.
+    /// A few at a time, so that their copies do not queue on the links.
+    pub fn renew_copies(&mut self, now: Time) -> Vec<(InstanceId, AttemptId, Place)> {
+        if !self.pool.copies || now < self.next_renewal {
+            return Vec::new();
+        }
+        self.next_renewal = now + RENEWAL_PERIOD;
+        let is_kept = |name: &Name| self.servers.get(name).is_some_and(Server::stays);
+        let is_at_risk = |placed: &Placed| !is_kept(&placed.server);
+        let mut bare: Vec<(bool, u32, AttemptId)> = self
+            .placed
+            .iter()
+            .filter(|(_, placed)| placed.confirmed && placed.given_up.is_none())
+            .filter(|(_, placed)| placed.generated > 0)
+            .filter(|(_, placed)| !placed.copy.as_ref().is_some_and(is_kept))
+            .map(|(attempt, placed)| (is_at_risk(placed), placed.generated, *attempt))
+            .collect();
+        // Those on a server that is about to go come first, and then those that have come furthest.
+        bare.sort_unstable_by(|a, b| b.cmp(a));
+        let mut renewed = Vec::new();
+        for (at_risk, _, attempt) in bare {
+            if renewed.len() >= RENEWALS_MAX {
+                break;
+            }
+            let placed = self.placed[&attempt].clone();
+            let most = if at_risk {
+                COPY_SHARE_AT_RISK
+            } else {
+                COPY_SHARE_MAX
+            };
+            let found = self.choose_copy(now, &placed.server, &placed.work, &[], most);
+            let Some(copy) = found else {
+                continue;
+            };
+            renewed.push((placed.holder, attempt, self.place_of(&copy)));
+            if let Some(placed) = self.placed.get_mut(&attempt) {
+                placed.copy = Some(copy);
+            }
+        }
+        renewed
+    }
+
+    /// Notes that a copy could not be made.
+    pub fn forget_copy(&mut self, attempt: AttemptId) {
+        if let Some(placed) = self.placed.get_mut(&attempt) {
+            placed.copy = None;
+        }
+    }
+
+    /// Returns the server that keeps a copy of a generation's memory best: the emptiest one that would
+    /// still have room for new work, so that copies never stand in the way of an admission.
+    pub(super) fn choose_copy(
+        &self,
+        now: Time,
+        server: &Name,
+        work: &Work,
+        avoid: &[Name],
+        most: f64,
+    ) -> Option<Name> {
+        if !self.pool.copies || work.hint < COPY_TOKENS_MIN {
+            return None;
+        }
+        let mut best: Option<(f64, Name)> = None;
+        for (name, other) in &self.servers {
+            if name == server || avoid.contains(name) || !other.is_open(now) {
+                continue;
+            }
+            let here: Vec<&Placed> = self.placed.values().filter(|p| p.server == *name).collect();
+            let Some(share) = self.memory_share(other, &here, work, most) else {
+                continue;
+            };
+            if best.as_ref().is_none_or(|(least, _)| share < *least) {
+                best = Some((share, name.clone()));
+            }
+        }
+        best.map(|(_, name)| name)
+    }
+}
--- a/crates/admit/src/cell/room.rs
+++ b/crates/admit/src/cell/room.rs
@@ -21,14 +21,6 @@
 /// Time between two grants on an engine that is at work.
 pub(super) const GRANT_SPACING: Duration = Duration::from_millis(25);
 
-/// Greatest share of a server's memory, at its predicted peak, up to which it takes copies.
-pub(super) const COPY_SHARE_MAX: f64 = 0.85;
-/// The same for a copy of what runs on a server that is about to go. Without one it is lost for sure,
-/// while a prediction that proves true costs another generation a pause.
-pub(super) const COPY_SHARE_AT_RISK: f64 = 1.1;
-/// Least expected output of a generation of which a copy is kept, in tokens. A shorter one is run anew
-/// in less time than its copy takes on the links.
-const COPY_TOKENS_MIN: u32 = 64;
 /// Tokens after which a request under suspicion no longer keeps others off its server: one that crashes
 /// servers has mostly done so by then.
 const TRIAL_TOKENS: u32 = 32;
@@ -164,7 +156,7 @@
     /// Returns the share of a server's memory at its predicted peak, or `None` if it is too small.
     ///
     /// Copies kept for other servers count like what runs: they grow as their originals do.
-    fn memory_share(
+    pub(super) fn memory_share(
         &self,
         server: &Server,
         here: &[&Placed],
@@ -197,35 +189,6 @@
         fits.then(|| peak as f64 / usable.max(1) as f64)
     }
 
-    /// Returns the server that keeps a copy of a generation's memory best: the emptiest one that would
-    /// still have room for new work, so that copies never stand in the way of an admission.
-    pub(super) fn choose_copy(
-        &self,
-        now: Time,
-        server: &Name,
-        work: &Work,
-        avoid: &[Name],
-        most: f64,
-    ) -> Option<Name> {
-        if !self.pool.copies || work.hint < COPY_TOKENS_MIN {
-            return None;
-        }
-        let mut best: Option<(f64, Name)> = None;
-        for (name, other) in &self.servers {
-            if name == server || avoid.contains(name) || !other.is_open(now) {
-                continue;
-            }
-            let here: Vec<&Placed> = self.placed.values().filter(|p| p.server == *name).collect();
-            let Some(share) = self.memory_share(other, &here, work, most) else {
-                continue;
-            };
-            if best.as_ref().is_none_or(|(least, _)| share < *least) {
-                best = Some((share, name.clone()));
-            }
-        }
-        best.map(|(_, name)| name)
-    }
-
     fn use_of(&self, work: &Work, generated: u32) -> Use {
         let rest = self.rest(work, generated);
         Use {
--- /dev/null
+++ b/crates/admit/tests/placing.rs
@@ -0,0 +1,265 @@
+//! Placing at the worst load, replayed without a bench.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use admit::Cell;
+use admit::Listing;
+use admit::Load;
+use admit::Reply;
+use admit::Verdict;
+use admit::cell::Share;
+use conf::Pool;
+use wire::admission::Ask;
+use wire::admission::Grant;
+use wire::admission::Item;
+use wire::admission::Report;
+use wire::admission::Work;
+
+const START: Duration = Duration::from_secs(20);
+const SHARE: Share = Share {
+    weight: 1.0,
+    limit: 0,
+};
+const HOLDER: u64 = 9;
+const MEMORY: u64 = 34_000;
+
+fn pool() -> Pool {
+    Pool {
+        batch: 24,
+        cold_limit: 24,
+        memory_tokens: MEMORY,
+        cold_rate: 25.0,
+        copies: true,
+        ..Pool::default()
+    }
+}
+
+fn listing(index: usize, cold: Duration) -> Listing {
+    Listing {
+        name: format!("e{index}").as_str().into(),
+        address: ([127, 0, 0, 1], 1_000 + index as u16).into(),
+        boot: 1,
+        cold,
+        leaving: false,
+        drained: false,
+    }
+}
+
+fn cell(servers: usize, cold: Duration) -> (Cell, Vec<Listing>) {
+    let listings: Vec<Listing> = (0..servers).map(|index| listing(index, cold)).collect();
+    let mut cell = Cell::new(START - Duration::from_secs(5), pool(), 7);
+    cell.configure(START, &pool(), &listings);
+    (cell, listings)
+}
+
+fn ask(attempt: u64, prompt: u32, hint: u32) -> Ask {
+    Ask {
+        attempt,
+        pool: "p".into(),
+        data_centre: "east".into(),
+        work: Work {
+            organisation: "shop".into(),
+            route: "letters".into(),
+            class: 1,
+            prompt,
+            delivered: 0,
+            hint,
+            prefixes: Vec::new(),
+        },
+        avoid: Vec::new(),
+        suspect: false,
+        wait_ms: 1_000,
+        at: None,
+    }
+}
+
+fn grants(replies: &[Reply]) -> Vec<Grant> {
+    replies
+        .iter()
+        .filter_map(|reply| match &reply.verdict {
+            Verdict::Grant(grant) => Some(grant.clone()),
+            _ => None,
+        })
+        .collect()
+}
+
+fn report(cell: &mut Cell, now: Duration, item: Item) {
+    let report = Report {
+        pool: "p".into(),
+        seq: 1,
+        full: false,
+        items: vec![item],
+    };
+    cell.report(now, HOLDER, &report);
+}
+
+fn progress(cell: &mut Cell, now: Duration, attempt: u64, generated: u32) {
+    report(cell, now, Item::Progress { attempt, generated });
+}
+
+#[test]
+fn prompts_that_come_at_once_are_read_by_different_servers() {
+    let (mut cell, _) = cell(6, Duration::ZERO);
+    let mut now = START;
+    let mut reading: BTreeMap<String, u32> = BTreeMap::new();
+    for attempt in 0..12 {
+        now += Duration::from_millis(30);
+        let prompt = 2_000 + 300 * (attempt as u32 % 4);
+        let replies = cell.ask(now, HOLDER, ask(attempt, prompt, 300), SHARE);
+        for grant in grants(&replies) {
+            *reading.entry(grant.server.to_string()).or_default() += prompt;
+        }
+    }
+    assert_eq!(reading.len(), 6, "{reading:?}");
+    let (least, most) = (reading.values().min(), reading.values().max());
+    assert!(most <= least.map(|least| least * 2).as_ref(), "{reading:?}");
+}
+
+#[test]
+fn server_that_reads_no_prompt_goes_before_one_with_less_memory_in_use() {
+    let (mut cell, _) = cell(2, Duration::ZERO);
+    // One server has a great prompt in its memory, which was read long ago and of which no copy is kept.
+    let first = grants(&cell.ask(START, HOLDER, ask(1, 9_000, 60), SHARE)).remove(0);
+    progress(&mut cell, START, 1, 8);
+    // The other one has just begun to read.
+    let now = START + Duration::from_millis(100);
+    let second = grants(&cell.ask(now, HOLDER, ask(2, 2_500, 20), SHARE)).remove(0);
+    assert_ne!(first.server, second.server);
+    let now = now + Duration::from_millis(40);
+    let third = grants(&cell.ask(now, HOLDER, ask(3, 2_000, 20), SHARE)).remove(0);
+    assert_eq!(third.server, first.server);
+}
+
+#[test]
+fn cold_server_gets_no_more_in_a_second_than_it_bears() {
+    let (mut cell, _) = cell(1, Duration::from_secs(3));
+    let mut now = START;
+    let mut granted = Vec::new();
+    let mut attempt = 0;
+    while now < START + Duration::from_secs(2) {
+        now += Duration::from_millis(10);
+        attempt += 1;
+        let mut replies = cell.ask(now, HOLDER, ask(attempt, 10, 4), SHARE);
+        replies.extend(cell.tick(now));
+        for grant in grants(&replies) {
+            granted.push(now);
+            let ended = Item::Ended {
+                attempt: grant.attempt,
+                end: wire::admission::End::Complete,
+                generated: 4,
+                first_token_ms: 5,
+            };
+            report(&mut cell, now, ended);
+        }
+    }
+    for at in &granted {
+        let window = granted
+            .iter()
+            .filter(|one| **one >= *at && **one < *at + Duration::from_secs(1));
+        assert!(window.count() <= 25);
+    }
+    assert!(
+        granted.len() >= 40,
+        "it is used up to that rate: {}",
+        granted.len()
+    );
+}
+
+#[test]
+fn new_life_of_a_server_starts_from_nothing() {
+    let (mut cell, mut listings) = cell(1, Duration::ZERO);
+    cell.load(
+        START,
+        "e0",
+        Load {
+            boot: 1,
+            running: 20,
+            ..Load::default()
+        },
+    );
+    listings[0].boot = 2;
+    listings[0].cold = Duration::from_secs(1);
+    cell.configure(START, &pool(), &listings);
+    let server = cell.servers().next().expect("it is listed");
+    assert_eq!(server.boot(), 2);
+    assert!(
+        server.load.is_none(),
+        "what the life before reported is forgotten"
+    );
+    let grant = grants(&cell.ask(START, HOLDER, ask(1, 100, 10), SHARE)).remove(0);
+    assert_eq!(grant.boot, 2);
+}
+
+#[test]
+fn copies_leave_room_for_new_work_and_short_answers_have_none() {
+    let (mut cell, _) = cell(2, Duration::ZERO);
+    let mut now = START;
+    let mut with_copy = 0;
+    for attempt in 0..12 {
+        now += Duration::from_millis(200);
+        let replies = cell.ask(now, HOLDER, ask(attempt, 3_000, 1_000), SHARE);
+        for grant in grants(&replies) {
+            progress(&mut cell, now, grant.attempt, 4);
+            if let Some(copy) = grant.copy {
+                assert_ne!(copy.server, grant.server);
+                with_copy += 1;
+            }
+        }
+    }
+    // Four thousand tokens each: 34,000 tokens on each of two servers hold some 14 with their copies.
+    assert!((4..=8).contains(&with_copy), "{with_copy}");
+    let short = grants(&cell.ask(
+        now + Duration::from_secs(1),
+        HOLDER,
+        ask(50, 100, 12),
+        SHARE,
+    ));
+    assert!(short.iter().all(|grant| grant.copy.is_none()));
+}
+
+#[test]
+fn what_runs_on_a_server_that_goes_is_copied_before_all_else() {
+    let (mut cell, mut listings) = cell(3, Duration::ZERO);
+    let mut now = START;
+    let mut placed: BTreeMap<u64, Grant> = BTreeMap::new();
+    for attempt in 0..9 {
+        now += Duration::from_millis(200);
+        for grant in grants(&cell.ask(now, HOLDER, ask(attempt, 2_000, 500), SHARE)) {
+            progress(&mut cell, now, attempt, 100);
+            cell.forget_copy(attempt);
+            placed.insert(attempt, grant);
+        }
+    }
+    listings[0].leaving = true;
+    cell.configure(now, &pool(), &listings);
+    now += Duration::from_secs(1);
+    let renewed = cell.renew_copies(now);
+    assert!(!renewed.is_empty());
+    let at_risk = placed.values().filter(|grant| grant.server == "e0").count();
+    for (index, (holder, attempt, place)) in renewed.iter().enumerate() {
+        assert_eq!(*holder, HOLDER);
+        assert_ne!(place.server, "e0", "it is about to go");
+        assert_ne!(place.server, placed[attempt].server);
+        if index < at_risk {
+            assert_eq!(placed[attempt].server, "e0");
+        }
+    }
+}
+
+#[test]
+fn copy_that_could_not_be_made_is_ordered_again() {
+    let (mut cell, _) = cell(3, Duration::ZERO);
+    let grant = grants(&cell.ask(START, HOLDER, ask(1, 2_000, 500), SHARE)).remove(0);
+    assert!(grant.copy.is_some());
+    progress(&mut cell, START, 1, 100);
+    assert!(
+        cell.renew_copies(START + Duration::from_millis(200))
+            .is_empty()
+    );
+    cell.forget_copy(1);
+    assert_eq!(
+        cell.renew_copies(START + Duration::from_millis(400)).len(),
+        1
+    );
+}
