--- a/crates/core/src/home.rs
+++ b/crates/core/src/home.rs
@@ -253,6 +253,8 @@
         cell.configure(now, &pool, &listings);
         cell.set_majority(majority);
         if is_new {
+            // A new home judges by fresh reports until it has learnt what runs.
+            self.home.next_probe = now;
             self.log("home", false, format!("Now the home of pool {name}."));
         }
     }
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -91,8 +91,6 @@
     pub first_token: Option<Duration>,
     /// Tokens generated.
     pub generated: u32,
-    /// Tokens that the caller had when the attempt began.
-    pub begun: u32,
     /// Whether it goes on with an earlier attempt's generation.
     pub resumed: bool,
     /// Where a copy of its memory is kept.
--- a/crates/core/src/serve.rs
+++ b/crates/core/src/serve.rs
@@ -39,9 +39,6 @@
 /// Longest wait of a suspect for a place. It gets one only where no other suspect runs, which may take
 /// its time after a crash of a full engine, and most of them are innocent.
 const SUSPECT_DEADLINE: Duration = Duration::from_secs(30);
-/// Tokens of an attempt after which a crash of its server is not put down to it: a request that crashes
-/// servers does so when they begin to run it.
-const TRIAL_TOKENS: u32 = 32;
 /// Time of one token on an engine at work, for an estimate of how long an answer takes.
 const TOKEN_TIME: Duration = Duration::from_millis(9);
 /// Time until the first token, for the same estimate.
@@ -240,7 +237,6 @@
             since: self.now,
             first_token: None,
             generated: job.delivered(),
-            begun: job.delivered(),
             resumed: resumes.is_some(),
             copy: grant.copy.clone().map(|place| Kept {
                 place,
@@ -454,11 +450,11 @@
         let running = job.running().cloned();
         if let Some(running) = running {
             job.avoid(&running.server);
-            // A server that said that it goes, or was taken off the list, was not crashed by a request.
-            // Nor was one that had long run it.
-            let announced = !self.may_take_work(&running.data_centre, &running.server);
-            let proved = running.generated >= running.begun + TRIAL_TOKENS;
-            if crashed && !announced && !proved {
+            // A server that said that it goes was not crashed by a request.
+            let listed = self.servers.get(&running.server);
+            let announced = listed.is_some_and(|server| server.leaving)
+                || self.home.is_leaving_life(&running.server, running.boot);
+            if crashed && !announced {
                 let hash = suspect::server_hash(&running.server, running.boot);
                 self.suspects.strike(self.now, fingerprint, hash);
                 self.tell_strike(fingerprint, hash);
