Press the store less in storms and outages

Cause: in an outage every instance of a data centre took over reading the list, and each change of a storm was read by each of them.

--- a/crates/core/src/home.rs
+++ b/crates/core/src/home.rs
@@ -178,6 +178,10 @@
             .filter(|server| !self.servers.get(&server.name).is_some_and(|s| s.reclaimed))
             .map(|server| server.name.clone())
             .collect();
+        if !self.listed {
+            // Homes that learnt of their servers only now can judge as soon as these have reported.
+            self.home.next_probe = self.now;
+        }
         self.listing.note_leaving(self.now, &servers);
         self.servers = servers;
         self.listed = true;
--- a/crates/core/src/listing.rs
+++ b/crates/core/src/listing.rs
@@ -25,6 +25,9 @@
 /// a second.
 const SILENCE: Duration = Duration::from_millis(900);
 
+/// Time after which one more instance takes over.
+const TURN: Duration = Duration::from_millis(700);
+
 /// How an instance keeps up with the list.
 #[derive(Debug, Default)]
 pub(crate) struct Listing {
@@ -52,11 +55,18 @@
 impl Instance {
     /// Returns whether this instance should read the list of servers in the store.
     pub fn reads_list(&self) -> bool {
-        let silent = self
-            .listing
-            .heard
-            .is_none_or(|heard| self.now.saturating_sub(heard) > SILENCE);
-        silent || self.members.is_among_first("list", READERS)
+        let Some(heard) = self.listing.heard else {
+            return true;
+        };
+        let silence = self.now.saturating_sub(heard);
+        // They take over one after the other, so that an outage does not have all of them call.
+        let places = silence.saturating_sub(SILENCE).as_millis() / TURN.as_millis();
+        let behind = usize::try_from(places).unwrap_or(usize::MAX);
+        let readers = match silence > SILENCE {
+            true => READERS.saturating_add(1).saturating_add(behind),
+            false => READERS,
+        };
+        self.members.is_among_first("list", readers)
     }
 
     /// Returns the servers of the list in force.
--- a/crates/follow/src/lib.rs
+++ b/crates/follow/src/lib.rs
@@ -49,8 +49,6 @@
 
 /// First pause after a failure.
 const PAUSE_FIRST: Duration = Duration::from_millis(100);
-/// Longest pause after a failure. A store that returns is noticed within this time.
-const PAUSE_MAX: Duration = Duration::from_millis(1_000);
 
 /// Times of a feed.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -62,6 +60,8 @@
     pub grace: Duration,
     /// Time without an answer after which the store counts as away.
     pub away: Duration,
+    /// Longest pause after a failure. A store that returns is noticed within this time.
+    pub pause: Duration,
 }
 
 impl Default for Limits {
@@ -70,6 +70,7 @@
             pace: Duration::ZERO,
             grace: Duration::ZERO,
             away: Duration::from_millis(1_000),
+            pause: Duration::from_millis(1_000),
         }
     }
 }
@@ -230,6 +231,11 @@
         self.away
     }
 
+    /// Sets other times from the next answer on.
+    pub fn set_limits(&mut self, limits: Limits) {
+        self.limits = limits;
+    }
+
     /// Begins anew with a range: the feed was not driven for a while.
     pub fn restart(&mut self) {
         self.state = State::reading();
@@ -298,7 +304,9 @@
     fn fail(&mut self, now: Time) -> News {
         let since = *self.failing_since.get_or_insert(now);
         let doubled = PAUSE_FIRST * 2u32.pow(self.failures.min(8));
-        let pause = doubled.min(PAUSE_MAX).mul_f64(0.5 + 0.5 * self.rng.f64());
+        let pause = doubled
+            .min(self.limits.pause)
+            .mul_f64(0.5 + 0.5 * self.rng.f64());
         self.failures += 1;
         self.next_call = now + pause;
         let lost = !self.away && now.saturating_sub(since) >= self.limits.away;
