--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -37,6 +37,8 @@
 const CALL_PATIENCE: Duration = Duration::from_millis(1_500);
 /// Least time between two requests for a newer configuration.
 const FETCH_PERIOD: Duration = Duration::from_millis(150);
+/// Times that this time is doubled while no newer configuration has come.
+const FETCH_DOUBLINGS: u32 = 4;
 /// Instances that a new version is sent to at once by each one that gets it.
 const PUSH_FANOUT: usize = 3;
 /// Time for which a command tries to be accepted.
@@ -85,6 +87,7 @@
     reading: bool,
     next_read: Time,
     next_fetch: Time,
+    fetches: u32,
     edits: VecDeque<Edit>,
     spreading: Vec<Spread>,
 }
@@ -118,6 +121,11 @@
         }
     }
 
+    /// Notes that a newer configuration has come.
+    pub(crate) fn note_newer(&mut self) {
+        self.fetches = 0;
+    }
+
     pub(crate) fn next_wake(&self) -> Option<Time> {
         let read = (!self.following && !self.reading && !self.given).then_some(self.next_read);
         let edit = self.edits.front().map(|edit| edit.until);
@@ -249,7 +257,10 @@
         }
         self.config.follower.hear(version);
         if version > self.config.follower.version() && self.now >= self.config.next_fetch {
-            self.config.next_fetch = self.now + FETCH_PERIOD;
+            // A great configuration takes a while on a slow link, and asking again only adds to that.
+            let doubled = FETCH_PERIOD * 2u32.pow(self.config.fetches.min(FETCH_DOUBLINGS));
+            self.config.next_fetch = self.now + doubled;
+            self.config.fetches += 1;
             let after = self.config.follower.version();
             self.send(from, Body::Fetch { after });
         }
--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -294,6 +294,7 @@
         if version == before {
             return;
         }
+        self.config.note_newer();
         let config = Arc::new(self.config().clone());
         self.out.push(Output::Config(config));
         self.refresh_homes();
