--- a/crates/conf/src/follow.rs
+++ b/crates/conf/src/follow.rs
@@ -66,6 +66,15 @@
         true
     }
 
+    /// Takes a later version of which it is known that it says the same.
+    pub fn confirm(&mut self, version: Version) {
+        self.hear(version);
+        if version > self.version() {
+            self.config.version = version;
+            self.recent.clear();
+        }
+    }
+
     /// Takes changes, oldest first. Returns whether any came into force.
     pub fn follow(&mut self, changes: &[Change]) -> bool {
         let before = self.version();
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -88,6 +88,7 @@
     next_read: Time,
     next_fetch: Time,
     fetches: u32,
+    digest: u64,
     edits: VecDeque<Edit>,
     spreading: Vec<Spread>,
 }
@@ -262,12 +263,18 @@
             self.config.next_fetch = self.now + doubled;
             self.config.fetches += 1;
             let after = self.config.follower.version();
-            self.send(from, Body::Fetch { after });
+            let digest = self.config.digest;
+            self.send(from, Body::Fetch { after, digest });
         }
     }
 
-    pub(crate) fn on_fetch(&mut self, from: InstanceId, after: Version) {
-        if self.config.follower.version() <= after {
+    pub(crate) fn on_fetch(&mut self, from: InstanceId, after: Version, digest: u64) {
+        let version = self.config.follower.version();
+        if version <= after {
+            return;
+        }
+        if digest != 0 && digest == self.config.digest {
+            self.send(from, Body::Confirm { version, digest });
             return;
         }
         let body = match self.config.follower.changes_after(after) {
@@ -279,6 +286,32 @@
         }
     }
 
+    /// Takes a later version that says the same. Where the configuration is read whole, its version is
+    /// the revision at which it was read, so instances that read it at different times differ in nothing
+    /// else.
+    pub(crate) fn on_confirm(&mut self, version: Version, digest: u64) {
+        if digest == self.config.digest {
+            self.config.follower.confirm(version);
+            self.config.note_newer();
+        }
+    }
+
+    /// Notes a hash of the configuration in force, by which instances find that they have the same.
+    pub(crate) fn note_digest(&mut self) {
+        if self.settings.source != Source::Shell {
+            return;
+        }
+        let mut unversioned = self.config().clone();
+        unversioned.version = 0;
+        match serde_json::to_vec(&unversioned) {
+            Ok(json) => self.config.digest = xxhash_rust::xxh3::xxh3_64(&json),
+            Err(error) => {
+                self.config.digest = 0;
+                self.log("config", true, format!("It can't be coded: {error}."));
+            }
+        }
+    }
+
     pub(crate) fn on_changes(&mut self, json: &[u8]) {
         let Ok(changes) = serde_json::from_slice::<Vec<Change>>(json) else {
             return;
--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -295,6 +295,7 @@
             return;
         }
         self.config.note_newer();
+        self.note_digest();
         let config = Arc::new(self.config().clone());
         self.out.push(Output::Config(config));
         self.refresh_homes();
--- a/crates/core/src/listing.rs
+++ b/crates/core/src/listing.rs
@@ -102,6 +102,7 @@
             revision: roster.revision,
             servers: changed,
             gone,
+            config: self.config.follower.version(),
         };
         self.heard_list(roster.revision);
         if !news.servers.is_empty() || !news.gone.is_empty() || !self.listed {
@@ -129,6 +130,7 @@
 
     /// Takes what another instance has read.
     pub(crate) fn on_roster(&mut self, from: InstanceId, news: Roster) {
+        self.hear_version(from, news.config);
         if news.revision < self.listing.revision {
             return;
         }
@@ -162,6 +164,7 @@
             revision: self.listing.revision,
             servers: self.servers.values().cloned().collect(),
             gone: Vec::new(),
+            config: self.config.follower.version(),
         };
         self.send(from, Body::Roster(whole));
     }
--- a/crates/core/tests/driver/mod.rs
+++ b/crates/core/tests/driver/mod.rs
@@ -142,6 +142,7 @@
             revision: self.revision,
             servers: self.servers.clone(),
             gone: Vec::new(),
+            config: 0,
         };
         self.input(Input::Roster(roster));
     }
--- a/crates/core/tests/listing.rs
+++ b/crates/core/tests/listing.rs
@@ -116,6 +116,7 @@
                         revision: self.revision,
                         servers: servers.to_vec(),
                         gone: Vec::new(),
+                        config: 0,
                     };
                     self.input(index, Input::Roster(roster));
                 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -170,6 +170,15 @@
     Fetch {
         /// The version in force at the sender.
         after: Version,
+        /// Hash of what it says, or zero.
+        digest: u64,
+    },
+    /// Says that the configuration in force at the receiver is also that of a later version.
+    Confirm {
+        /// The version.
+        version: Version,
+        /// Hash of what it says.
+        digest: u64,
     },
     /// Changes of the configuration, as JSON.
     Changes {
--- a/crates/wire/src/roster.rs
+++ b/crates/wire/src/roster.rs
@@ -11,6 +11,7 @@
 
 use crate::BootId;
 use crate::Name;
+use crate::Version;
 
 /// Revision of the platform's store.
 pub type Revision = u64;
@@ -26,6 +27,9 @@
     pub servers: Vec<Server>,
     /// Servers that are no longer listed.
     pub gone: Vec<Name>,
+    /// Version of the configuration in force at the sender, so that those who do not read the store hear
+    /// of a newer one as soon as of a server.
+    pub config: Version,
 }
 
 /// A backend server as the platform lists it.
--- a/crates/wire/src/seal.rs
+++ b/crates/wire/src/seal.rs
@@ -207,7 +207,10 @@
     const WALL: Duration = Duration::from_secs(1_000_000);
 
     fn sealed() -> Vec<u8> {
-        let body = Body::Fetch { after: 3 };
+        let body = Body::Fetch {
+            after: 3,
+            digest: 0,
+        };
         Sealer::new(key_from_text("k"), 1).seal(2, WALL, body)
     }
 
