--- a/crates/core/src/home.rs
+++ b/crates/core/src/home.rs
@@ -170,6 +170,29 @@
         }
     }
 
+    /// Says what a new list changes.
+    fn log_list(&mut self, servers: &BTreeMap<Name, ListedServer>) {
+        let revision = self.listing.revision();
+        let mut lines = Vec::new();
+        for (name, server) in servers {
+            let known = self.servers.get(name);
+            if known.is_none_or(|known| known.boot != server.boot) {
+                lines.push(format!("Server {name} of {} is new", server.label));
+            }
+            if server.leaving && known.is_none_or(|known| !known.leaving) {
+                lines.push(format!("Server {name} is about to go"));
+            }
+        }
+        let gone = self
+            .servers
+            .keys()
+            .filter(|name| !servers.contains_key(*name));
+        lines.extend(gone.map(|name| format!("Server {name} is gone")));
+        for line in lines {
+            self.log("list", false, format!("{line}, as of revision {revision}."));
+        }
+    }
+
     /// Puts a new list of servers in place of the one before.
     pub(crate) fn take_servers(&mut self, servers: BTreeMap<Name, ListedServer>) {
         let reclaimed: Vec<Name> = servers
@@ -178,6 +201,7 @@
             .filter(|server| !self.servers.get(&server.name).is_some_and(|s| s.reclaimed))
             .map(|server| server.name.clone())
             .collect();
+        self.log_list(&servers);
         if !self.listed {
             // Homes that learnt of their servers only now can judge as soon as these have reported.
             self.home.next_probe = self.now;
@@ -420,6 +444,9 @@
     pub(crate) fn tick_home(&mut self) {
         if self.home.seen_changes != self.members.changes() {
             self.home.seen_changes = self.members.changes();
+            let live = self.members.running_others().count() + 1;
+            let text = format!("{live} instances are thought to be running.");
+            self.log("member", false, text);
             self.note_dead_holders();
             self.refresh_homes();
         }
--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -297,6 +297,17 @@
         self.config.note_newer();
         self.note_digest();
         let config = Arc::new(self.config().clone());
+        let out: Vec<&str> = config
+            .data_centres
+            .iter()
+            .filter(|(_, found)| found.out)
+            .map(|(name, _)| name.as_str())
+            .collect();
+        let text = format!(
+            "Version {version} is in force (before {before}, document {}, withdrawn: {out:?}).",
+            config.document
+        );
+        self.log("config", false, text);
         self.out.push(Output::Config(config));
         self.refresh_homes();
         self.push_config(before);
--- a/crates/core/src/listing.rs
+++ b/crates/core/src/listing.rs
@@ -37,6 +37,11 @@
 }
 
 impl Listing {
+    /// Returns the revision as of which the list holds.
+    pub(crate) fn revision(&self) -> Revision {
+        self.revision
+    }
+
     /// Returns when a server was first listed as about to go.
     pub(crate) fn leaving_since(&self, server: &str) -> Option<Time> {
         self.leaving.get(server).copied()
--- a/crates/core/src/seek.rs
+++ b/crates/core/src/seek.rs
@@ -428,9 +428,21 @@
         };
         self.attempts.remove(&asked.attempt);
         if self.jobs[&id].kept.is_some() {
+            self.log(
+                "seek",
+                true,
+                format!("Request {id}: the place of its copy was denied."),
+            );
             self.end(id, Reason::Lost, None);
             return;
         }
+        let text = format!(
+            "Request {id}: {} denied a place ({denial:?}, asked {} ms ago), again in {} ms.",
+            asked.data_centre,
+            self.now.saturating_sub(asked.sent).as_millis(),
+            retry.as_millis(),
+        );
+        self.log("seek", false, text);
         let pool = self.jobs[&id].route.pool.clone();
         if denial == Denial::Full {
             self.home.site_mut(&asked.data_centre, &pool).full_at = Some(self.now);
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -37,14 +37,12 @@
 //! - [`relay`]: one request, from its header to the end of its answer.
 //! - [`link`]: one attempt's connection to a backend server.
 //! - [`events`]: the events of a stream.
-//! - [`trace`]: log lines about requests.
 
 pub mod codec;
 pub mod entry;
 pub mod events;
 pub mod link;
 pub mod relay;
-pub mod trace;
 
 pub use crate::codec::Call;
 pub use crate::codec::Codec;
--- a/crates/follow/src/lib.rs
+++ b/crates/follow/src/lib.rs
@@ -140,6 +140,37 @@
     Failed,
 }
 
+impl<T> Answer<T> {
+    /// Returns the answer with its items decoded.
+    pub fn decoded<U>(self, decode: fn(Item<T>) -> Item<U>) -> Answer<U> {
+        match self {
+            Answer::Page { items, more, at } => Answer::Page {
+                items: items.into_iter().map(decode).collect(),
+                more,
+                at,
+            },
+            Answer::Events { events, at } => Answer::Events {
+                events: events
+                    .into_iter()
+                    .map(|event| event.decoded(decode))
+                    .collect(),
+                at,
+            },
+            Answer::Compacted => Answer::Compacted,
+            Answer::Failed => Answer::Failed,
+        }
+    }
+}
+
+impl<T> Event<T> {
+    fn decoded<U>(self, decode: fn(Item<T>) -> Item<U>) -> Event<U> {
+        match self {
+            Event::Written(item) => Event::Written(decode(item)),
+            Event::Removed { key, revision } => Event::Removed { key, revision },
+        }
+    }
+}
+
 /// What an answer has led to.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct News {
--- a/crates/gateway/src/decider.rs
+++ b/crates/gateway/src/decider.rs
@@ -34,6 +34,7 @@
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::peers::Post;
+use crate::trace::Gate;
 
 /// What the decider tells the relay of a request.
 #[derive(Clone, Debug, PartialEq)]
@@ -156,6 +157,7 @@
     links: Arc<Links>,
     replies: HashMap<u64, oneshot::Sender<CommandReply>>,
     restarted: bool,
+    gate: Gate,
 }
 
 impl Decider {
@@ -166,6 +168,7 @@
             links,
             replies: HashMap::new(),
             restarted,
+            gate: Gate::default(),
         }
     }
 
@@ -226,6 +229,9 @@
                 links.status.send_modify(|status| status.config = config);
             }
             Output::Log { part, warn, text } => {
+                if !self.gate.allows(links.clock.now(), !warn) {
+                    return;
+                }
                 if warn {
                     log::warn!("{part}: {text}");
                 } else {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 //! - [`settings`]: what a process is told, and its findings.
 //! - [`node`]: starting and stopping.
 //! - [`parts`]: what every shell of an instance has.
+//! - [`trace`]: bounding the number of log lines.
 //! - [`supervisor`]: restarting a part that has failed.
 //! - [`decider`]: the actor that owns the decisions.
 //! - [`relay`]: one request's attempts.
@@ -53,6 +54,7 @@
 pub mod relay;
 pub mod settings;
 pub mod supervisor;
+pub mod trace;
 
 pub use crate::node::Node;
 pub use crate::settings::Settings;
--- a/crates/exchange/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -1,6 +1,6 @@
-//! Log lines about requests.
+//! Bounding the number of log lines.
 //!
-//! Every decision on a request is one line with the request's label. Lines about requests that went
+//! Every decision on a request, and every change of what an instance believes, is one line. Lines about requests that went
 //! well are let through up to a rate, so that a flood of requests is no flood of lines; what was left
 //! out is counted and said. Lines about requests that went wrong have an allowance of their own, so
 //! that many good ones never displace them.
