Turn a request away when its home names a wait longer than it has

Test: request_that_a_full_home_denied_does_not_wait_for_a_silent_data_centre, which fails without it.

--- a/crates/core/src/seek.rs
+++ b/crates/core/src/seek.rs
@@ -224,6 +224,8 @@
             return;
         };
         let retry = seeking.retry;
+        // The home that denied it named a wait that is longer than it has.
+        let hopeless = self.now + retry >= self.jobs[&id].deadline;
         let silent = sites
             .iter()
             .any(|(name, site)| site.servers > 0 && !site.reachable && !tried.contains(name));
@@ -236,7 +238,7 @@
             return;
         }
         match final_denial {
-            Some(reason) if !silent => self.end(id, reason, Some(retry)),
+            Some(reason) if !silent || hopeless => self.end(id, reason, Some(retry)),
             _ => self.set_due(id, self.now + NOBODY_PAUSE),
         }
     }
--- a/crates/core/tests/driver/mod.rs
+++ b/crates/core/tests/driver/mod.rs
@@ -172,6 +172,13 @@
         self.input(Input::Request(request));
     }
 
+    /// Returns the attempt by which a request runs.
+    pub fn placed(&self, id: u64) -> u64 {
+        let mut jobs = self.instance.jobs();
+        let job = jobs.find(|job| job.request.id == id).expect("it is there");
+        job.running().expect("it runs").attempt
+    }
+
     /// Takes the newest dispatch of a request.
     pub fn dispatch(&mut self, id: u64) -> Option<Dispatch> {
         let found = self.outputs.iter().rposition(
--- a/crates/core/tests/waiting.rs
+++ b/crates/core/tests/waiting.rs
@@ -128,6 +128,58 @@
     assert!(cancelled, "the server is told");
 }
 
+#[test]
+fn request_that_a_full_home_denied_does_not_wait_for_a_silent_data_centre() {
+    let mut driver = Driver::new(letters(), &["a"]);
+    let mut far = driver::server("w", 1);
+    far.data_centre = "west".into();
+    driver.servers.push(far);
+    driver.list();
+    // The server's memory holds some of them; one more waits.
+    let mut id = 0;
+    let running = loop {
+        id += 1;
+        driver.request(id);
+        driver.pass(Duration::from_millis(60));
+        match driver.dispatch(id) {
+            Some(attempt) => driver.run(&attempt, 8),
+            None => break id - 1,
+        }
+    };
+    assert!((2..40).contains(&running), "{running}");
+    // Each that ends lets another one in, from which the home learns how fast it serves.
+    let mut refused = None;
+    for next in id + 1..id + 30 {
+        driver.request(next);
+        driver.pass(Duration::from_millis(20));
+        if let Some(found) = refusal(&driver, next) {
+            refused = Some(found);
+            break;
+        }
+        if next == id + 1 {
+            let first = driver.placed(1);
+            driver.input(Input::Attempt(
+                first,
+                wigeon_core::Event::Complete {
+                    generated: 300,
+                    gap: Duration::ZERO,
+                    answer: wire::ledger::Answer {
+                        status: 200,
+                        media: String::new(),
+                        body: None,
+                    },
+                },
+            ));
+        }
+    }
+    let (reason, retry) = refused.expect("it was turned away within 20 ms, not at its deadline");
+    assert_eq!(reason, Reason::Overloaded);
+    assert!(
+        retry.is_some_and(|retry| retry >= Duration::from_secs(1)),
+        "{retry:?}"
+    );
+}
+
 #[test]
 fn generation_that_would_be_cut_by_the_stop_is_turned_away() {
     let mut driver = Driver::with_grace(letters(), &["a", "b"], Duration::from_secs(8));
