--- a/crates/core/src/serve.rs
+++ b/crates/core/src/serve.rs
@@ -457,6 +457,11 @@
             if crashed && !announced {
                 let hash = suspect::server_hash(&running.server, running.boot);
                 self.suspects.strike(self.now, fingerprint, hash);
+                let text = format!(
+                    "Request {id} ran on {} (life {}) when that crashed.",
+                    running.server, running.boot
+                );
+                self.log("suspect", true, text);
                 self.tell_strike(fingerprint, hash);
             }
         }
