Begin no generation long after being told to stop

Now no generation begins later than 2.8 s after the notice, and no call whose time outlasts the grace. Tests: generation_that_comes_long_after_the_notice_is_turned_away_however_short, call_whose_time_outlasts_the_stop_is_turned_away.

--- a/crates/core/src/serve.rs
+++ b/crates/core/src/serve.rs
@@ -39,6 +39,9 @@
 /// Longest wait of a suspect for a place. It gets one only where no other suspect runs, which may take
 /// its time after a crash of a full engine, and most of them are innocent.
 const SUSPECT_DEADLINE: Duration = Duration::from_secs(30);
+/// Time after being told to leave from which on no generation is begun: callers should all have been sent
+/// elsewhere by then.
+const LATE: Duration = Duration::from_millis(2_800);
 /// Time of one token on an engine at work, for an estimate of how long an answer takes.
 const TOKEN_TIME: Duration = Duration::from_millis(9);
 /// Time until the first token, for the same estimate.
@@ -120,16 +123,18 @@
     /// Returns whether this instance stops before a request's answer is expected to end. Its caller is
     /// better off with another instance at once than with a part of an answer.
     fn would_be_cut(&self, id: RequestId) -> bool {
-        let Some(leaves_at) = self.leaves_at else {
+        let (Some(leaves_at), Some(grace)) = (self.leaves_at, self.settings.grace) else {
             return false;
         };
         let job = &self.jobs[&id];
-        let engine = self.config().pools.get(&job.route.pool);
-        if engine.is_none_or(|pool| pool.service == Service::Plain) {
-            return false;
+        let pool = self.config().pools.get(&job.route.pool);
+        if pool.is_none_or(|pool| pool.service == Service::Plain) {
+            return job.ends.is_some_and(|ends| ends > leaves_at);
         }
+        // Estimates are often wrong, and what comes late has less time to bear that.
+        let told_at = leaves_at.saturating_sub(grace);
         let takes = TOKEN_TIME * self.hint(job) + PROMPT_TIME;
-        self.now + takes > leaves_at
+        self.now > told_at + LATE || self.now + takes > leaves_at
     }
 
     /// Gives the job's timer a new time.
--- a/crates/core/tests/driver/mod.rs
+++ b/crates/core/tests/driver/mod.rs
@@ -157,7 +157,12 @@
     }
 
     pub fn request(&mut self, id: u64) {
-        let request = Request {
+        let request = self.new_request(id);
+        self.input(Input::Request(request));
+    }
+
+    pub fn new_request(&self, id: u64) -> Request {
+        Request {
             id,
             organisation: "shop".into(),
             route: "letters".into(),
@@ -168,8 +173,7 @@
             limit: None,
             expected: Some(900),
             patience: Some(Duration::from_secs(39)),
-        };
-        self.input(Input::Request(request));
+        }
     }
 
     /// Returns the attempt by which a request runs.
--- a/crates/core/tests/waiting.rs
+++ b/crates/core/tests/waiting.rs
@@ -21,7 +21,11 @@
 
 /// A driver whose servers are plain ones, chosen without a home.
 fn calls(servers: &[&str], idempotent: bool) -> Driver {
-    let mut driver = Driver::new(letters(), servers);
+    calls_with_grace(servers, idempotent, Duration::from_secs(60))
+}
+
+fn calls_with_grace(servers: &[&str], idempotent: bool, grace: Duration) -> Driver {
+    let mut driver = Driver::with_grace(letters(), servers, grace);
     let pool = Pool {
         service: Service::Plain,
         placing: Placing::Local,
@@ -194,6 +198,38 @@
     assert!(retry < Duration::from_millis(200));
 }
 
+#[test]
+fn generation_that_comes_long_after_the_notice_is_turned_away_however_short() {
+    let mut driver = Driver::with_grace(letters(), &["a", "b"], Duration::from_secs(8));
+    driver.input(Input::Leave);
+    driver.pass(Duration::from_secs(3));
+    let mut short = driver.new_request(1);
+    short.expected = Some(8);
+    short.limit = Some(16);
+    driver.input(Input::Request(short));
+    assert_eq!(
+        refusal(&driver, 1).map(|found| found.0),
+        Some(Reason::Leaving)
+    );
+}
+
+#[test]
+fn call_whose_time_outlasts_the_stop_is_turned_away() {
+    let mut driver = calls_with_grace(&["a"], true, Duration::from_millis(1_500));
+    driver.input(Input::Leave);
+    driver.request(1);
+    assert!(
+        driver.dispatch(1).is_some(),
+        "it ends in a second at the latest"
+    );
+    driver.pass(Duration::from_millis(700));
+    driver.request(2);
+    assert_eq!(
+        refusal(&driver, 2).map(|found| found.0),
+        Some(Reason::Leaving)
+    );
+}
+
 #[test]
 fn what_ends_before_the_stop_is_still_served() {
     let mut driver = Driver::with_grace(letters(), &["a", "b"], Duration::from_secs(30));
