--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -30,6 +30,9 @@
 const TROUBLE: Duration = Duration::from_secs(14);
 /// Time after which it must be quiet.
 const QUIET: Duration = Duration::from_secs(45);
+/// Further time for generations that their engines still bring on. One that turned cold with more than it
+/// bears takes a quarter of a second for a step (seed 173), and some 400 steps make a long answer.
+const COLLAPSED: Duration = Duration::from_secs(100);
 
 /// What a run led to.
 #[derive(Clone, Debug, Default)]
@@ -51,6 +54,11 @@
     if world.broken.is_empty() {
         world.heal();
         world.run_until(TROUBLE + QUIET);
+        let mut until = TROUBLE + QUIET;
+        while world.is_generating() && until < TROUBLE + QUIET + COLLAPSED {
+            until += Duration::from_secs(5);
+            world.run_until(until);
+        }
     }
     verdict::judge(&mut world)
 }
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -269,6 +269,21 @@
 }
 
 impl World {
+    /// Returns whether some request is held whose engine is up and still runs it.
+    pub fn is_generating(&self) -> bool {
+        let runs = |server: &Name, request: RequestId| match &self.servers[server].backend {
+            Backend::Engine(engine) => {
+                engine.is_up() && engine.requests().contains(&(request & 0xffff_ffff))
+            }
+            Backend::Plain(_) => false,
+        };
+        self.nodes
+            .iter()
+            .flat_map(|node| node.instance.jobs())
+            .filter_map(|job| Some((job.running()?, job.request.id)))
+            .any(|(running, id)| runs(&running.server, id))
+    }
+
     /// Returns a world of a few data centres, with its configuration and its load.
     pub fn new(seed: u64) -> World {
         let mut rng = fastrand::Rng::with_seed(seed);
