Have each instance read a newer document itself, and ask others only where it can't

Each instance watches again, at its own pace; one that hears of a newer version has 0.7 s to read it before it asks another instance for it.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -37,6 +37,9 @@
 const CALL_PATIENCE: Duration = Duration::from_millis(1_500);
 /// Least time between two requests for a newer configuration.
 const FETCH_PERIOD: Duration = Duration::from_millis(150);
+/// Time that an instance which follows the configuration itself has to read a newer one, before it asks
+/// another instance for it.
+const OWN_READ: Duration = Duration::from_millis(700);
 /// Times that this time is doubled while no newer configuration has come.
 const FETCH_DOUBLINGS: u32 = 4;
 /// Instances that a new version is sent to at once by each one that gets it.
@@ -88,6 +91,7 @@
     next_read: Time,
     next_fetch: Time,
     fetches: u32,
+    behind_since: Option<Time>,
     digest: u64,
     edits: VecDeque<Edit>,
     spreading: Vec<Spread>,
@@ -125,6 +129,7 @@
     /// Notes that a newer configuration has come.
     pub(crate) fn note_newer(&mut self) {
         self.fetches = 0;
+        self.behind_since = None;
     }
 
     pub(crate) fn next_wake(&self) -> Option<Time> {
@@ -257,7 +262,15 @@
             self.config.versions.retain(|id, _| members.is_running(*id));
         }
         self.config.follower.hear(version);
-        if version > self.config.follower.version() && self.now >= self.config.next_fetch {
+        if version <= self.config.follower.version() {
+            return;
+        }
+        let behind = *self.config.behind_since.get_or_insert(self.now);
+        let reads_itself = self.settings.source == Source::Shell;
+        if reads_itself && self.now.saturating_sub(behind) < OWN_READ {
+            return;
+        }
+        if self.now >= self.config.next_fetch {
             // A great configuration takes a while on a slow link, and asking again only adds to that.
             let doubled = FETCH_PERIOD * 2u32.pow(self.config.fetches.min(FETCH_DOUBLINGS));
             self.config.next_fetch = self.now + doubled;
--- a/crates/follow/src/lib.rs
+++ b/crates/follow/src/lib.rs
@@ -262,6 +262,11 @@
         self.away
     }
 
+    /// Sets other times from the next answer on.
+    pub fn set_limits(&mut self, limits: Limits) {
+        self.limits = limits;
+    }
+
     /// Begins anew with a range: the feed was not driven for a while.
     pub fn restart(&mut self) {
         self.state = State::reading();
