--- a/crates/exchange/src/relay/pump.rs
+++ b/crates/exchange/src/relay/pump.rs
@@ -110,10 +110,8 @@
         let mut source = Some(source);
         let mut queue: VecDeque<Bytes> = VecDeque::new();
         loop {
-            let silence = match (&source, &dispatch.copy) {
-                (Some(_), Some(_)) if queue.is_empty() => Some(SILENCE),
-                _ => None,
-            };
+            let watched = source.is_some() && queue.is_empty() && self.has_copy(&dispatch);
+            let silence = watched.then_some(SILENCE);
             tokio::select! {
                 biased;
                 permit = out.reserve(), if !queue.is_empty() => match permit {
@@ -180,6 +178,12 @@
         }
     }
 
+    /// Returns whether a copy was named when the attempt began, or has been made since.
+    fn has_copy(&self, dispatch: &Dispatch) -> bool {
+        let made = self.handle.as_ref();
+        dispatch.copy.is_some() || made.is_some_and(|handle| handle.source == dispatch.address)
+    }
+
     /// Makes the attempt by which a stream goes on. Returns its source, or tells the decider that there
     /// is none.
     async fn go_on(
