Copy all that is at risk at once, and leave room for it

A copy ordered at the notice was refused by its destination within 10 ms, ordered again at the same one 100 ms later, ten times over, and took one of the four orders of each look while others waited.

What changed: up to 32 copies at risk in one look; a server that had no room is not asked for 300 ms; standing copies take up to 0.65 of a memory, before 0.85.

--- a/crates/admit/src/cell.rs
+++ b/crates/admit/src/cell.rs
@@ -109,6 +109,7 @@
     rate_at: Time,
     denied: BTreeSet<AttemptId>,
     next_renewal: Time,
+    no_room: BTreeMap<Name, Time>,
     rng: fastrand::Rng,
 }
 
@@ -131,6 +132,7 @@
             rate_at: now,
             denied: BTreeSet::new(),
             next_renewal: Time::ZERO,
+            no_room: BTreeMap::new(),
             rng: fastrand::Rng::with_seed(seed),
         }
     }
@@ -155,6 +157,7 @@
         for name in gone {
             self.servers.remove(&name);
             self.last_grants.remove(&name);
+            self.no_room.remove(&name);
             self.prefixes.forget(&name);
         }
     }
--- a/crates/admit/src/cell/copies.rs
+++ b/crates/admit/src/cell/copies.rs
@@ -20,7 +20,7 @@
 use crate::server::Server;
 
 /// Greatest share of a server's memory, at its predicted peak, up to which it takes copies.
-pub(super) const COPY_SHARE_MAX: f64 = 0.85;
+pub(super) const COPY_SHARE_MAX: f64 = 0.65;
 /// The same for a copy of what runs on a server that is about to go. Without one it is lost for sure,
 /// while a prediction that proves true costs another generation a pause.
 const COPY_SHARE_AT_RISK: f64 = 1.1;
@@ -31,6 +31,11 @@
 const RENEWAL_PERIOD: Duration = Duration::from_millis(100);
 /// Copies renewed in one look. One takes some 200 ms on a link.
 const RENEWALS_MAX: usize = 4;
+/// The same for what runs on servers that are about to go: some ten go at once, each with a link of its own.
+const RENEWALS_AT_RISK: usize = 32;
+/// Time for which a server that had no room for a copy is not asked for another one. Reports are some
+/// 500 ms old, and a generation ends on a full server every second or so.
+const NO_ROOM_TIME: Duration = Duration::from_millis(300);
 
 impl Cell {
     /// Returns the running attempts whose memory is to be copied to a new place: those whose copy is on
@@ -59,7 +64,12 @@
         }
         let mut crowds = self.crowds(now);
         for (at_risk, _, attempt) in bare {
-            if renewed.len() >= RENEWALS_MAX {
+            let limit = if at_risk {
+                RENEWALS_AT_RISK
+            } else {
+                RENEWALS_MAX
+            };
+            if renewed.len() >= limit {
                 break;
             }
             let mut placed = self.placed[&attempt].clone();
@@ -80,13 +90,18 @@
         renewed
     }
 
-    /// Notes that a copy could not be made.
-    pub fn forget_copy(&mut self, attempt: AttemptId) {
-        if let Some(placed) = self.placed.get_mut(&attempt) {
-            placed.copy = None;
+    /// Notes that a copy could not be made: its server has no room, or can't be reached.
+    pub fn forget_copy(&mut self, now: Time, attempt: AttemptId) {
+        let placed = self.placed.get_mut(&attempt);
+        if let Some(copy) = placed.and_then(|placed| placed.copy.take()) {
+            self.no_room.insert(copy, now + NO_ROOM_TIME);
         }
     }
 
+    fn has_no_room(&self, now: Time, name: &Name) -> bool {
+        self.no_room.get(name).is_some_and(|until| now < *until)
+    }
+
     /// Returns the server that keeps a copy of a generation's memory best: the emptiest one that would
     /// still have room for new work, so that copies never stand in the way of an admission.
     pub(super) fn choose_copy(
@@ -105,6 +120,9 @@
             if name == server || avoid.contains(name) || !other.is_open(now) {
                 continue;
             }
+            if self.has_no_room(now, name) {
+                continue;
+            }
             let crowd = &crowds[name];
             let Some(share) = self.memory_share(other, crowd, work, length, most) else {
                 continue;
--- a/crates/core/src/serve.rs
+++ b/crates/core/src/serve.rs
@@ -707,7 +707,7 @@
 
     pub(crate) fn on_no_copy(&mut self, attempt: AttemptId, pool: &Name) {
         if let Some(cell) = self.home.cells.get_mut(pool) {
-            cell.forget_copy(attempt);
+            cell.forget_copy(self.now, attempt);
         }
     }
 
