Keep standing copies up to two fifths of a memory

Cause: once what runs on leaving engines is copied in time, standing copies only help at a crash without notice, and take the room of letters at the worst load.

--- a/crates/admit/src/cell/copies.rs
+++ b/crates/admit/src/cell/copies.rs
@@ -20,7 +20,7 @@
 use crate::server::Server;
 
 /// Greatest share of a server's memory, at its predicted peak, up to which it takes copies.
-pub(super) const COPY_SHARE_MAX: f64 = 0.65;
+pub(super) const COPY_SHARE_MAX: f64 = 0.4;
 /// The same for a copy of what runs on a server that is about to go. Without one it is lost for sure,
 /// while a prediction that proves true costs another generation a pause.
 const COPY_SHARE_AT_RISK: f64 = 1.1;
