Explain a request from logs with wigeonctl

Cause: from an id to its cause an engineer had to search logs by hand for the id, for the number that other lines use, and for what its instance believed of its servers at the time.

Ruled out: asking a daemon. The request has ended, and its process may be gone.

Before: docs/OPERATIONS.md with grep.

--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,5 +1,7 @@
 //! The operators' command-line client.
 
+mod explain;
+
 use std::io::Read;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -26,7 +28,10 @@
 
 /// Asks instances what runs where, and changes the configuration.
 ///
-/// Exit codes: 0 done, 1 refused or failed, 2 misuse, 3 not reachable.
+/// `explain ID FILE...` says from logs alone what became of a request and why; FILE may be - for standard
+/// input.
+///
+/// Exit codes: 0 done, 1 refused, failed or not found, 2 misuse, 3 not reachable.
 #[derive(FromArgs)]
 struct Arguments {
     /// address of an instance's operators' interface; given more than once, the next one is tried
@@ -48,7 +53,7 @@
     /// file for the picture of a burn report, as SVG
     #[argh(option)]
     svg: Option<PathBuf>,
-    /// a line of the language, or 'apply FILE'; without it, lines are read from standard input
+    /// a line of the language, 'apply FILE' or 'explain ID FILE...'; without it, lines are read from standard input
     #[argh(positional, greedy)]
     line: Vec<String>,
 }
@@ -61,6 +66,11 @@
 
 fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
+    if let [word, id, files @ ..] = arguments.line.as_slice()
+        && word == "explain"
+    {
+        return explain_from(id, files);
+    }
     let commands = match commands(&arguments) {
         Ok(commands) if !commands.is_empty() => commands,
         Ok(_) => return misuse("there is no command"),
@@ -82,6 +92,36 @@
     ExitCode::SUCCESS
 }
 
+/// Prints what logs say of a request.
+fn explain_from(id: &str, files: &[String]) -> ExitCode {
+    if files.is_empty() {
+        return misuse("explain needs an id and at least one log file");
+    }
+    let mut log = String::new();
+    for file in files {
+        let read = match file.as_str() {
+            "-" => std::io::read_to_string(std::io::stdin()),
+            file => std::fs::read_to_string(file),
+        };
+        match read {
+            Ok(text) => log.push_str(&text),
+            Err(error) => return misuse(&format!("{file}: {error}")),
+        }
+    }
+    match explain::explain(id, &log) {
+        Some(text) => {
+            print!("{text}");
+            ExitCode::SUCCESS
+        }
+        None => {
+            eprintln!(
+                "no line names {id}; the volume of good requests is bounded, see docs/OPERATIONS.md"
+            );
+            ExitCode::from(REFUSED)
+        }
+    }
+}
+
 fn misuse(text: &str) -> ExitCode {
     eprintln!("wigeonctl: {text}");
     ExitCode::from(MISUSE)
