Let work that waits pass over a data centre that has no place, whatever the reason

Only a "full" was remembered.

Ruled out: the home's answer (it names 200 ms), the main ask (it is not repeated while it is queued).

Before: data_centre_without_a_server_is_not_asked_again_at_once_by_work_that_waits overflows the stack, as the test's frames take no time.

--- a/crates/core/src/seek.rs
+++ b/crates/core/src/seek.rs
@@ -446,7 +446,9 @@
         );
         self.log("seek", false, text);
         let pool = self.jobs[&id].route.pool.clone();
-        if denial == Denial::Full {
+        // Work that waits asks others again and again, so it passes over one that had no place for any
+        // reason.
+        if denial == Denial::Full || side == Side::Spill {
             self.home.site_mut(&asked.data_centre, &pool).full_at = Some(self.now);
         }
         if side == Side::Spill {
--- /dev/null
+++ b/crates/core/tests/spill.rs
@@ -0,0 +1,185 @@
+//! Work that waits in a full data centre and asks for a place elsewhere.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use conf::Config;
+use conf::Delivery;
+use conf::Pool;
+use conf::Route;
+use wigeon_core::Input;
+use wigeon_core::Instance;
+use wigeon_core::Output;
+use wigeon_core::Request;
+use wigeon_core::ServerReport;
+use wigeon_core::Settings;
+use wigeon_core::Source;
+use wire::Body;
+use wire::Frame;
+use wire::roster::Roster;
+use wire::roster::Server;
+
+const WALL: Duration = Duration::from_secs(1_700_000_000);
+const STEP: Duration = Duration::from_millis(10);
+
+/// An instance in each of two data centres. The far one's server does not answer its home.
+struct Pair {
+    instances: Vec<Instance>,
+    now: Duration,
+    /// Asks that the first instance sent to the second one.
+    asks: u32,
+}
+
+fn settings(id: u64) -> Settings {
+    let data_centre = if id == 1 { "east" } else { "west" };
+    Settings {
+        source: Source::Shell,
+        ..Settings::example(&format!("i{id}"), data_centre, id)
+    }
+}
+
+fn server(name: &str, data_centre: &str, port: u16) -> Server {
+    Server {
+        name: name.into(),
+        data_centre: data_centre.into(),
+        label: "engines".into(),
+        address: ([127, 0, 0, 1], port).into(),
+        boot: 1,
+        leaving: false,
+        reclaimed: false,
+        cold_ms: 0,
+    }
+}
+
+fn config() -> Config {
+    let pool = Pool {
+        batch: 4,
+        cold_limit: 4,
+        memory_tokens: 30_000,
+        ..Pool::default()
+    };
+    let route = Route {
+        pool: "engines".into(),
+        delivery: Delivery::Stream,
+        deadline_ms: 5_000,
+        timeout_ms: 39_000,
+        ..Route::default()
+    };
+    let mut config = Config {
+        version: 5,
+        ..Config::default()
+    };
+    config.pools.insert("engines".into(), pool);
+    config.routes.insert("letters".into(), route);
+    config
+}
+
+impl Pair {
+    fn new() -> Pair {
+        let mut pair = Pair {
+            instances: vec![Instance::new(settings(1)), Instance::new(settings(2))],
+            now: Duration::from_secs(20),
+            asks: 0,
+        };
+        let listed: Vec<wigeon_core::Listed> = [1, 2]
+            .into_iter()
+            .map(|id| {
+                let own = settings(id).own;
+                wigeon_core::Listed::Instance(member::Listed {
+                    name: own.name,
+                    data_centre: own.data_centre,
+                    peers: own.peers,
+                    leaving: false,
+                })
+            })
+            .collect();
+        let roster = Roster {
+            after: 0,
+            revision: 3,
+            servers: vec![server("near", "east", 81), server("far", "west", 82)],
+            gone: Vec::new(),
+            config: 0,
+        };
+        for index in 0..2 {
+            pair.input(index, Input::List(listed.clone()));
+            pair.input(index, Input::Adopt(Arc::new(config())));
+            pair.input(index, Input::Roster(roster.clone()));
+        }
+        pair.pass(Duration::from_secs(3));
+        pair
+    }
+
+    fn input(&mut self, index: usize, input: Input) {
+        let outputs = self.instances[index].handle(self.now, WALL + self.now, input);
+        for output in outputs {
+            match output {
+                Output::Send { body, .. } => {
+                    self.asks += u32::from(index == 0 && matches!(body, Body::Ask(_)));
+                    let frame = Frame {
+                        from: self.instances[index].id(),
+                        to: self.instances[1 - index].id(),
+                        seq: 1,
+                        wall_ms: 0,
+                        body,
+                    };
+                    self.input(1 - index, Input::Frame(frame));
+                }
+                Output::Probe { server, asked, .. } => {
+                    let load = admit::Load {
+                        boot: 1,
+                        capacity: 30_000,
+                        ..admit::Load::default()
+                    };
+                    let report = (server == "near").then_some(ServerReport {
+                        load,
+                        ready: true,
+                        ..ServerReport::default()
+                    });
+                    self.input(index, Input::Report(server, asked, report));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn pass(&mut self, time: Duration) {
+        let until = self.now + time;
+        while self.now < until {
+            self.now += STEP;
+            for index in 0..2 {
+                self.input(index, Input::Wake);
+            }
+        }
+    }
+
+    fn request(&mut self, id: u64) {
+        let request = Request {
+            id,
+            organisation: "shop".into(),
+            route: "letters".into(),
+            key: None,
+            fingerprint: id,
+            prompt: 500,
+            prefixes: Vec::new(),
+            limit: None,
+            expected: Some(100),
+            patience: Some(Duration::from_secs(39)),
+        };
+        self.input(0, Input::Request(request));
+    }
+}
+
+#[test]
+fn data_centre_without_a_server_is_not_asked_again_at_once_by_work_that_waits() {
+    let mut pair = Pair::new();
+    for id in 1..=4 {
+        pair.request(id);
+        pair.pass(Duration::from_millis(60));
+    }
+    pair.asks = 0;
+    // The near server has all that it may. One more waits for it, and asks elsewhere meanwhile.
+    pair.request(5);
+    pair.pass(Duration::from_secs(2));
+    assert!(pair.asks >= 1, "it waits and asks elsewhere");
+    assert!(pair.asks <= 6, "{} asks in two seconds", pair.asks);
+}
