Have one piece of code say which servers are open, and which peak their memory has

Cause: read as a whole, the change had twins. Choosing locally filtered the servers of a pool as the baselines do; the early look of a round listed the checks of room() again; the peak with one more generation had the loop of the peak; each report of progress copied an attempt's work to predict its rest.

Ruled out: a change of behaviour. The checks are the same and have no effects, so their order does not matter.

--- a/crates/admit/src/cell/placed.rs
+++ b/crates/admit/src/cell/placed.rs
@@ -15,6 +15,7 @@
 
 use super::Cell;
 use super::GRANT_LIFETIME;
+use super::room::predicted_rest;
 use crate::memory::Use;
 
 /// Time for which an attempt that its holder gave up still counts. After it the server's reports show
@@ -97,11 +98,7 @@
                     return false;
                 };
                 placed.hear(now, *generated);
-                let work = placed.work.clone();
-                let rest = self.rest_of(&work, *generated);
-                if let Some(placed) = self.placed.get_mut(attempt) {
-                    placed.rest = rest;
-                }
+                placed.rest = predicted_rest(&self.lengths, &placed.work, *generated);
                 true
             }
             Item::Ended {
--- a/crates/admit/src/cell/room.rs
+++ b/crates/admit/src/cell/room.rs
@@ -4,6 +4,7 @@
 
 use clock::Time;
 use conf::Service;
+use length::Estimator;
 use wire::Name;
 use wire::admission::Ask;
 use wire::admission::Work;
@@ -23,6 +24,7 @@
 
 /// Prompt tokens that a server has still to read, below which servers count as equal.
 const READING_SLACK: u64 = 400;
+
 /// A server with room.
 struct Open {
     reading: u64,
@@ -68,7 +70,7 @@
     /// Returns how full a server would be with an ask, or `None` if it has no room for it.
     fn room(&self, now: Time, name: &Name, crowd: &Crowd, ask: &Ask, rest: u32) -> Option<f64> {
         let server = &self.servers[name];
-        if !server.is_open(now) || !self.may_judge(now, server) {
+        if !self.takes_work(now, server) {
             return None;
         }
         if ask.suspect && server.is_frail(now) && self.has_sound_server(now) {
@@ -85,9 +87,6 @@
         if count > 0 && !self.is_spaced(now, name) {
             return None;
         }
-        if server.is_at_cold_rate(now, &self.pool) {
-            return None;
-        }
         let slots = (count + 1) as f64 / f64::from(self.pool.batch);
         let memory = self.memory_share(server, crowd, &ask.work, rest, 1.0)?;
         Some(slots.max(memory))
@@ -95,12 +94,17 @@
 
     /// Returns whether any server may be given work at all just now, whatever is on it.
     pub(super) fn may_place(&self, now: Time) -> bool {
-        self.servers.iter().any(|(name, server)| {
-            server.is_open(now)
-                && self.may_judge(now, server)
-                && self.is_spaced(now, name)
-                && !server.is_at_cold_rate(now, &self.pool)
-        })
+        self.servers
+            .iter()
+            .any(|(name, server)| self.takes_work(now, server) && self.is_spaced(now, name))
+    }
+
+    /// Returns whether a server may be given work just now, as far as that does not depend on what is
+    /// on it.
+    fn takes_work(&self, now: Time, server: &Server) -> bool {
+        server.is_open(now)
+            && self.may_judge(now, server)
+            && !server.is_at_cold_rate(now, &self.pool)
     }
 
     /// A server that crashes by itself would add to the suspicion of an innocent request, which waits
@@ -170,17 +174,21 @@
 
     /// Returns how many more tokens a generation is expected to need.
     pub(super) fn rest_of(&self, work: &Work, generated: u32) -> u32 {
-        let organisation = &work.organisation;
-        self.lengths.rest(
-            &work.route,
-            organisation,
-            generated,
-            PREDICTED_SHARE,
-            work.hint,
-        )
+        predicted_rest(&self.lengths, work, generated)
     }
 
     pub(super) fn cost(&self, work: &Work) -> f64 {
         f64::from(self.rest_of(work, 0)) + f64::from(work.prompt) / 8.0
     }
 }
+
+/// Returns how many more tokens a generation is expected to need, by the lengths of earlier ones.
+pub(super) fn predicted_rest(lengths: &Estimator, work: &Work, generated: u32) -> u32 {
+    lengths.rest(
+        &work.route,
+        &work.organisation,
+        generated,
+        PREDICTED_SHARE,
+        work.hint,
+    )
+}
--- a/crates/admit/src/memory.rs
+++ b/crates/admit/src/memory.rs
@@ -32,14 +32,7 @@
 /// Returns the predicted peak of the tokens held by all generations together.
 pub fn peak(uses: &mut [Use]) -> u64 {
     uses.sort_unstable_by_key(|one| std::cmp::Reverse(one.rest));
-    let mut held = 0;
-    let mut peak = 0;
-    for (index, one) in uses.iter().enumerate() {
-        held += one.held;
-        let count = index as u64 + 1;
-        peak = peak.max(held + count * one.rest);
-    }
-    peak
+    peak_of_sorted(uses.iter())
 }
 
 /// Returns the predicted peak with one more generation than those of a list, which is sorted by falling
@@ -47,10 +40,15 @@
 pub fn peak_with(uses: &[Use], more: Use) -> u64 {
     let index = uses.partition_point(|one| one.rest > more.rest);
     let (before, after) = uses.split_at(index);
+    peak_of_sorted(before.iter().chain([&more]).chain(after))
+}
+
+/// Returns the predicted peak of generations that come by falling rest.
+fn peak_of_sorted<'a>(uses: impl Iterator<Item = &'a Use>) -> u64 {
     let mut held = 0;
     let mut count = 0;
     let mut peak = 0;
-    for one in before.iter().chain([&more]).chain(after) {
+    for one in uses {
         held += one.held;
         count += 1;
         peak = peak.max(held + count * one.rest);
--- a/crates/core/src/baseline.rs
+++ b/crates/core/src/baseline.rs
@@ -102,14 +102,7 @@
 
     /// Returns the servers of a pool that may take work, those of the own data centre if it has any.
     fn eligible_servers(&self, pool_name: &Name, pool: &Pool) -> Vec<ListedServer> {
-        let label = pool.label(pool_name);
-        let all: Vec<ListedServer> = self
-            .servers
-            .values()
-            .filter(|server| server.label == label)
-            .filter(|server| self.may_take_work(&server.data_centre, &server.name))
-            .cloned()
-            .collect();
+        let all = self.open_servers(pool_name, pool);
         let own = self.own_dc();
         let here: Vec<ListedServer> = all
             .iter()
--- a/crates/core/src/local.rs
+++ b/crates/core/src/local.rs
@@ -5,7 +5,6 @@
 //! home would take longer than the imbalance does. Load pattern: many short calls, each server a few
 //! per cent busy, some servers sick while their own health check is good.
 
-use conf::Name;
 use conf::Placing;
 use wire::RequestId;
 
@@ -41,14 +40,7 @@
         let Some(pool) = self.config().pools.get(&pool_name) else {
             return;
         };
-        let label = Name::from(pool.label(&pool_name));
-        let open: Vec<ListedServer> = self
-            .servers
-            .values()
-            .filter(|server| server.label == label)
-            .filter(|server| self.may_take_work(&server.data_centre, &server.name))
-            .cloned()
-            .collect();
+        let open = self.open_servers(&pool_name, pool);
         // Those that were just not reached come last, whoever tried.
         let shunned = |server: &ListedServer| {
             avoid.contains(&server.name) || self.health.is_unreachable(self.now, &server.name)
--- a/crates/core/src/serve.rs
+++ b/crates/core/src/serve.rs
@@ -5,6 +5,7 @@
 use burn::Sample;
 use clock::Time;
 use conf::Delivery;
+use conf::Pool;
 use conf::Service;
 use suspect::Standing;
 use wire::AttemptId;
@@ -23,6 +24,7 @@
 use crate::message::Dispatch;
 use crate::message::Event;
 use crate::message::Kept;
+use crate::message::ListedServer;
 use crate::message::Output;
 use crate::message::Request;
 use crate::outcome::Outcome;
@@ -278,6 +280,17 @@
         self.is_in_service(data_centre, server) && !self.home.is_leaving_life(server, boot)
     }
 
+    /// Returns the servers of a pool that may get new work at this moment, in all data centres.
+    pub(crate) fn open_servers(&self, pool_name: &str, pool: &Pool) -> Vec<ListedServer> {
+        let label = pool.label(pool_name);
+        self.servers
+            .values()
+            .filter(|server| server.label == label)
+            .filter(|server| self.may_take_work(&server.data_centre, &server.name))
+            .cloned()
+            .collect()
+    }
+
     /// Returns whether a generation may go on at a server that keeps its copy. One that has just said
     /// that it goes is the only place for it, and bears it until its own work ends too.
     fn may_resume_at(&self, data_centre: &str, server: &str) -> bool {
