Close the connection after a body that is too large, and discard the rest of it

Cause: the answer 413 left the connection open in the caller's eyes, while hyper closes it as the body was not read to its end. The caller's next request was sent on it and lost: (Cut, SendRequest) in place of its own answer. Closing with unread bytes could besides reset the connection before the answer was read. Now such answers carry Connection: close, and the rest of the body is read and discarded within 8 MiB and 1 s, here and in exchange. The new test failed before with a reset while the body was sent.

--- a/crates/exchange/src/relay/body.rs
+++ b/crates/exchange/src/relay/body.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use gateway::http::discard_body;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::HeaderMap;
@@ -93,6 +94,7 @@
     let idle = Duration::from_millis(limits.idle_ms);
     let max_bytes = limits.body_bytes;
     if body.size_hint().lower() > max_bytes as u64 {
+        discard_body(body).await;
         return Err(StatusCode::PAYLOAD_TOO_LARGE);
     }
     let mut permits = Vec::new();
@@ -110,6 +112,8 @@
             continue;
         };
         if buffer.len() + data.len() > max_bytes {
+            drop(buffer);
+            discard_body(body).await;
             return Err(StatusCode::PAYLOAD_TOO_LARGE);
         }
         buffer.extend_from_slice(&data);
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -118,8 +118,10 @@
     with_outcome_headers(http::json(status, body.to_string()), "refused", "none")
 }
 
+/// Returns the response for a request whose body was not read. The rest of the body may still
+/// arrive, so the response asks the caller not to reuse the connection.
 fn body_error_response(error: BodyError) -> Response<Body> {
-    match error {
+    let mut response = match error {
         BodyError::TooLarge => {
             let text = format!("the body is longer than {} bytes", http::BODY_BYTES);
             error_response(StatusCode::PAYLOAD_TOO_LARGE, "body-too-large", &text)
@@ -134,7 +136,12 @@
             "body-broken",
             "the connection broke before the end of the body",
         ),
-    }
+    };
+    let close = HeaderValue::from_static("close");
+    response
+        .headers_mut()
+        .insert(hyper::header::CONNECTION, close);
+    response
 }
 
 fn with_outcome_headers(
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -36,6 +36,10 @@
 pub const BODY_BYTES: usize = 1_024 * 1_024;
 /// Longest wait for a request's header, and again for its body.
 const READ_TIMEOUT: Duration = Duration::from_secs(15);
+/// Greatest part of an oversized body that is read and discarded, in bytes.
+const DISCARDED_BYTES_MAX: usize = 8 * 1_024 * 1_024;
+/// Longest time for which an oversized body is read and discarded.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Longest wait for a connection to be established.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Greatest size of a connection's read buffer, in bytes.
@@ -105,18 +109,41 @@
 /// # Errors
 ///
 /// Returns an error if the body is too large or arrives too slowly, or if the connection breaks.
-pub async fn read_body(body: Incoming) -> Result<Bytes, BodyError> {
-    let limited = Limited::new(body, BODY_BYTES).collect();
+pub async fn read_body(mut body: Incoming) -> Result<Bytes, BodyError> {
+    let limited = Limited::new(&mut body, BODY_BYTES).collect();
     match tokio::time::timeout(READ_TIMEOUT, limited).await {
         Err(_) => Err(BodyError::TooSlow),
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
         Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            discard_body(body).await;
             Err(BodyError::TooLarge)
         }
         Ok(Err(_)) => Err(BodyError::Broken),
     }
 }
 
+/// Reads the rest of a rejected body and discards it, within a limit of bytes and time.
+///
+/// Closing a connection with unread bytes resets it, and the sender may then lose the response that
+/// was sent before.
+pub async fn discard_body(mut body: Incoming) {
+    let discarding = async {
+        let mut discarded = 0;
+        while discarded < DISCARDED_BYTES_MAX {
+            let Some(Ok(frame)) = body.frame().await else {
+                return;
+            };
+            discarded += frame.data_ref().map_or(0, Bytes::len);
+        }
+    };
+    if tokio::time::timeout(DISCARD_TIMEOUT, discarding)
+        .await
+        .is_err()
+    {
+        log::debug!("entry: Rest of a rejected body not discarded in time.");
+    }
+}
+
 /// Returns the bearer token of a request's `Authorization` header, if it has one.
 pub fn bearer<T>(request: &Request<T>) -> Option<&str> {
     let value = request.headers().get("authorization")?.to_str().ok()?;
--- a/crates/load/tests/end_to_end.rs
+++ b/crates/load/tests/end_to_end.rs
@@ -29,6 +29,9 @@
 use serde_json::json;
 use standin::token;
 use standin::token::Marker;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 use wigeon_core::Policy;
 
 const TOKEN: &str = "org-token";
@@ -116,6 +119,42 @@
     (status, serde_json::from_slice(&bytes).unwrap_or_default())
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn oversized_body_gets_a_complete_response_that_closes_the_connection() {
+    let fleet = Fleet::start(&fleet_config(1))
+        .await
+        .expect("the fleet starts");
+    let address = fleet.caller_addresses()[0];
+    let body = "x".repeat(2 << 20);
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {TOKEN}\r\n\
+         content-length: {}\r\n\r\n",
+        body.len()
+    );
+    let mut stream = TcpStream::connect(address)
+        .await
+        .expect("the instance accepts connections");
+    stream
+        .write_all(head.as_bytes())
+        .await
+        .expect("the header is sent");
+    stream
+        .write_all(body.as_bytes())
+        .await
+        .expect("the whole body is read, so the connection is not reset");
+    let mut response = String::new();
+    stream
+        .read_to_string(&mut response)
+        .await
+        .expect("the connection ends without a reset");
+    assert!(response.starts_with("HTTP/1.1 413"), "{response}");
+    assert!(
+        response.to_lowercase().contains("\r\nconnection: close"),
+        "{response}"
+    );
+    fleet.stop().await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn invalid_requests_are_refused_with_reason_and_without_a_run() {
     let fleet = Fleet::start(&fleet_config(1))
