--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -18,7 +18,6 @@
 use slo::Meter;
 use store::Ticket;
 use suspect::Table;
-use suspect::crashes::Crashes;
 use wire::AttemptId;
 use wire::InstanceId;
 use wire::Name;
@@ -106,7 +105,6 @@
     pub(crate) next_ticket: Ticket,
     pub(crate) config: ConfigState,
     pub(crate) suspects: Table,
-    pub(crate) crashes: Crashes,
     pub(crate) reconciler: Reconciler,
     /// When orders to engines are considered next.
     pub(crate) next_orders: Time,
@@ -149,7 +147,6 @@
             next_ticket: 0,
             config: ConfigState::new(settings.source),
             suspects: Table::new(settings.strikes),
-            crashes: Crashes::default(),
             reconciler: Reconciler::new(&own.data_centre, own.id),
             next_orders: Time::ZERO,
             meter: Meter::default(),
--- a/crates/core/src/lifecycle.rs
+++ b/crates/core/src/lifecycle.rs
@@ -500,7 +500,14 @@
                     .coordinator
                     .is_leaving_boot(&running.server, running.boot);
             if crashed && !had_announced {
-                self.record_crash(id, fingerprint, &running);
+                let hash = suspect::server_hash(&running.server, running.boot);
+                self.suspects.record_strike(self.now, fingerprint, hash);
+                let text = format!(
+                    "Request {id} was running on server {} (boot {}) when the server crashed.",
+                    running.server, running.boot
+                );
+                self.log("suspect", true, text);
+                self.broadcast_strike(fingerprint, hash);
             }
         }
         if self.resume_from_copy(id) {
@@ -521,32 +528,6 @@
         }
     }
 
-    /// Records that a request was running on a server when the server crashed. The request gets a
-    /// strike, unless the server has crashed before without it.
-    fn record_crash(&mut self, id: RequestId, fingerprint: wire::Fingerprint, running: &Running) {
-        let (server, boot) = (&running.server, running.boot);
-        let excused = self
-            .crashes
-            .is_server_at_fault(self.now, server, boot, fingerprint);
-        self.crashes.record(self.now, server, boot, fingerprint);
-        let verdict = if excused {
-            "not counted, the server crashed before without the request"
-        } else {
-            "counted"
-        };
-        let text = format!(
-            "Request {id} was running on server {server} (boot {boot}) when the server crashed, \
-             strike {verdict}."
-        );
-        self.log("suspect", true, text);
-        if excused {
-            return;
-        }
-        let hash = suspect::server_hash(server, boot);
-        self.suspects.record_strike(self.now, fingerprint, hash);
-        self.broadcast_strike(fingerprint, hash);
-    }
-
     /// Ends a job whose request was running on too many servers that crashed.
     pub(crate) fn end_barred(&mut self, id: RequestId) {
         if let Some(job) = self.jobs.get_mut(&id) {
--- a/crates/suspect/src/lib.rs
+++ b/crates/suspect/src/lib.rs
@@ -9,9 +9,6 @@
 //! [`STRIKE_LIMIT_DEFAULT`] distinct servers is [`Status::Barred`] for a time at every instance,
 //! because instances exchange strikes on their probes. A suspect request that completes is cleared.
 //!
-//! A crash of a server whose earlier boot crashed without the request is evidence against the server
-//! instead, and gives no strike; see [`crashes`].
-//!
 //! A strike is a pair of a request's fingerprint and a server's boot, so a strike that is received
 //! twice, or from two instances, counts once. [`Table`] stores strikes exactly; [`sketch`] is an
 //! approximate alternative, kept for comparison.
@@ -39,7 +36,6 @@
 use wire::gossip::STRIKES_MAX;
 use wire::gossip::Strike;
 
-pub mod crashes;
 pub mod sketch;
 
 /// Default number of distinct servers whose crashes bar a request.
