Heed what servers state in their responses: that they leave, and when they take requests again

Server-Leaving: 1 in the head of any response (calls, streams, 421, 503, reports, replication calls, releases) takes the server out at this instance with the response, for the rest of that life, whatever the list or an outdated record shows; the coordinator of its pools is told at once, the others by gossip. Announcements used to expire after 8 s unless repeated, and a leaving server could come back into use at an instance without the store. A 503 with Retry-After leaves the server alone for that time: grants for it are given back, reservations exclude it, one generation may resume at its copy there, and a request that no server takes before its deadline is refused at once with the time. Values that can't be parsed count as 1 s, others are bounded by 0 and 300 s. Bodies of reports were read without a bound; they are read up to 256 KiB.

--- a/crates/core/src/coordinator.rs
+++ b/crates/core/src/coordinator.rs
@@ -42,9 +42,10 @@
 const PROGRESS_REPORT_TOKENS: u32 = 32;
 /// Time for which no spill reservation is sent to a data centre that was full.
 const FULL_BACKOFF: Duration = Duration::from_millis(400);
-/// Time for which a server's announcement that it leaves is kept unless it is repeated. The
-/// server's coordinator repeats it with every report, so a server that has restarted takes work
-/// again at the latest after this time.
+/// Time for which a server's announcement that it leaves applies to any boot of the server, and after
+/// which one that is not tied to the listed boot expires. The server's coordinator repeats the
+/// announcement with every report, so a server that has restarted takes work again at the latest
+/// after this time.
 const LEAVING_TTL: Duration = Duration::from_secs(8);
 /// Most leaving servers named in one gossip frame. The newest announcements are kept.
 const GOSSIPED_LEAVING_MAX: usize = 8;
@@ -77,9 +78,18 @@
 #[derive(Clone, Copy, Debug)]
 struct LeaveAnnouncement {
     boot: BootId,
+    /// When the boot first announced that it leaves.
+    first_at: Time,
+    /// When the announcement was last repeated.
     announced_at: Time,
 }
 
+impl LeaveAnnouncement {
+    fn is_recent(&self, now: Time) -> bool {
+        now.saturating_sub(self.announced_at) < LEAVING_TTL
+    }
+}
+
 /// The reports to the coordinator of one pool in one data centre.
 #[derive(Debug)]
 struct Reporter {
@@ -113,9 +123,12 @@
         full_at.is_some_and(|at| now.saturating_sub(at) < FULL_BACKOFF)
     }
 
-    /// Returns whether a server recently announced that it leaves.
-    pub(crate) fn is_leaving(&self, server: &str) -> bool {
-        self.leaving.contains_key(server)
+    /// Returns whether the listed boot of a server announced that it leaves, or any boot did so
+    /// recently.
+    pub(crate) fn is_leaving(&self, now: Time, server: &str, listed: BootId) -> bool {
+        self.leaving
+            .get(server)
+            .is_some_and(|announcement| announcement.boot == listed || announcement.is_recent(now))
     }
 
     /// Returns whether a given boot of a server recently announced that it leaves. Boot id zero,
@@ -126,11 +139,18 @@
             .is_some_and(|announcement| announcement.boot == boot || boot == 0)
     }
 
+    /// Returns when a given boot of a server first announced that it leaves, if it has.
+    pub(crate) fn leaving_since(&self, server: &str, boot: BootId) -> Option<Time> {
+        let announcement = self.leaving.get(server)?;
+        (announcement.boot == boot || boot == 0).then_some(announcement.first_at)
+    }
+
     /// Returns the newest announcements of leaving servers, for gossip.
     pub(crate) fn leaving_servers(&self, now: Time) -> Vec<Leaving> {
         let mut leaving: Vec<Leaving> = self
             .leaving
             .iter()
+            .filter(|(_, announcement)| announcement.is_recent(now))
             .map(|(server, announcement)| Leaving {
                 server: server.clone(),
                 boot: announcement.boot,
@@ -242,20 +262,40 @@
         self.list_state.record_leaving(self.now, &servers);
         self.servers = servers;
         self.has_server_list = true;
+        self.record_listed_leaving();
         self.refresh_coordinators();
         for server in reclaimed {
             self.move_requests_off(&server);
         }
     }
 
+    /// Records the boots that the list shows as leaving, which stay so whatever a later list shows.
+    fn record_listed_leaving(&mut self) {
+        let leaving: Vec<(Name, BootId)> = self
+            .servers
+            .values()
+            .filter(|server| server.leaving && server.boot != 0)
+            .filter(|server| !self.coordinator.is_leaving_boot(&server.name, server.boot))
+            .map(|server| (server.name.clone(), server.boot))
+            .collect();
+        for (server, boot) in leaving {
+            self.record_leaving(&server, boot, self.now);
+        }
+    }
+
     /// Records that a given boot of a server announced that it leaves.
     pub(crate) fn record_leaving(&mut self, server: &Name, boot: BootId, announced_at: Time) {
         let expired = self.now.saturating_sub(announced_at) >= LEAVING_TTL;
         if expired || !self.servers.contains_key(server) {
             return;
         }
-        let announcement = LeaveAnnouncement { boot, announced_at };
         let known = self.coordinator.leaving.get(server).copied();
+        let earlier = known.filter(|known| known.boot == boot);
+        let announcement = LeaveAnnouncement {
+            boot,
+            first_at: earlier.map_or(announced_at, |known| known.first_at.min(announced_at)),
+            announced_at,
+        };
         if known.is_none_or(|known| known.announced_at < announced_at) {
             self.coordinator
                 .leaving
@@ -306,7 +346,8 @@
                 address: server.address,
                 boot: server.boot,
                 cold_time: Duration::from_millis(u64::from(server.cold_left_ms)),
-                leaving: server.leaving,
+                leaving: server.leaving
+                    || self.coordinator.is_leaving_boot(&server.name, server.boot),
                 drained: withdrawn || self.config().drained.contains(&server.name),
             })
             .collect();
@@ -550,9 +591,13 @@
 
     fn tick_schedulers(&mut self) {
         let now = self.now;
-        self.coordinator
-            .leaving
-            .retain(|_, announcement| now.saturating_sub(announcement.announced_at) < LEAVING_TTL);
+        let servers = &self.servers;
+        // A boot that leaves never takes work again, even if an outdated list shows it as running.
+        self.coordinator.leaving.retain(|server, announcement| {
+            let boot = servers.get(server).map(|listed| listed.boot);
+            let is_final = announcement.boot != 0 && boot == Some(announcement.boot);
+            is_final || announcement.is_recent(now)
+        });
         let mut replies = Vec::new();
         let mut holders_to_query = Vec::new();
         let mut copies = Vec::new();
--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -42,6 +42,7 @@
     fn on_body(&mut self, from: InstanceId, body: Body, age: Duration) {
         match body {
             Body::Strikes { strikes } => self.merge_strikes(&strikes),
+            Body::Leaving { servers } => self.on_leaving_servers(&servers),
             Body::Reserve(reservation) => self.on_reservation(from, reservation),
             Body::Grant(grant) => {
                 self.on_decision(from, grant.attempt, Decision::Grant(grant), age);
@@ -93,11 +94,7 @@
     /// carries.
     fn merge_gossip(&mut self, from: InstanceId, gossip: &Gossip) {
         self.merge_strikes(&gossip.strikes);
-        for server in &gossip.leaving {
-            let age = Duration::from_millis(u64::from(server.age_ms));
-            let announced_at = self.now.saturating_sub(age);
-            self.record_leaving(&server.server, server.boot, announced_at);
-        }
+        self.on_leaving_servers(&gossip.leaving);
         self.observe_version(from, gossip.config);
     }
 
--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -33,6 +33,7 @@
 use crate::message::Input;
 use crate::message::ListedServer;
 use crate::message::Output;
+use crate::notices::Backoffs;
 use crate::settings::Settings;
 
 /// An invariant that was broken. Where a broken invariant does not panic, it is counted.
@@ -88,6 +89,7 @@
     pub(crate) has_server_list: bool,
     pub(crate) list_state: ListState,
     pub(crate) health: Health,
+    pub(crate) backoffs: Backoffs,
     pub(crate) jobs: BTreeMap<RequestId, Job>,
     /// The request of each running attempt and of each reservation's attempt.
     pub(crate) attempt_requests: BTreeMap<AttemptId, RequestId>,
@@ -134,6 +136,7 @@
             has_server_list: false,
             list_state: ListState::default(),
             health: Health::default(),
+            backoffs: Backoffs::default(),
             jobs: BTreeMap::new(),
             attempt_requests: BTreeMap::new(),
             timers: BTreeSet::new(),
@@ -182,6 +185,9 @@
             Input::Frame(frame) => self.on_frame(frame),
             Input::Attempt(attempt, event) => self.on_attempt_event(attempt, event),
             Input::Report(server, sent, report) => self.on_server_report(&server, sent, report),
+            Input::ServerNotice(server, boot, notice) => {
+                self.on_server_notice(&server, boot, &notice);
+            }
             Input::Store(id, answer) => self.on_store_answer(id, answer),
             Input::List(listed) => self.on_list(listed),
             Input::ServerList(list) => self.on_server_list_read(list),
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -44,6 +44,7 @@
 //! - `copies`: copies of running generations' KV memory, and resuming from them.
 //! - `local`: choosing a server without a coordinator, for lightly loaded plain services.
 //! - `listing`: the list of backend servers and its distribution within a data centre.
+//! - `notices`: what backend servers state about themselves in their responses.
 //! - `config`: following the configuration and accepting changes to it.
 //! - `gossip`: frames between instances, and membership.
 //! - `orders`: orders that make engines load their configured setup.
@@ -61,6 +62,7 @@
 mod listing;
 mod local;
 pub mod message;
+mod notices;
 mod orders;
 pub mod outcome;
 mod placement;
@@ -76,6 +78,7 @@
 pub use crate::message::Output;
 pub use crate::message::Replica;
 pub use crate::message::Request;
+pub use crate::message::ServerNotice;
 pub use crate::message::ServerReport;
 pub use crate::outcome::Failure;
 pub use crate::outcome::Outcome;
--- a/crates/core/src/lifecycle.rs
+++ b/crates/core/src/lifecycle.rs
@@ -231,6 +231,7 @@
             .is_some_and(|job| job.has_copy_at(&grant.server));
         let eligible = if has_copy {
             self.may_resume_at(data_centre, &grant.server)
+                && self.backoffs.take_resume(self.now, &grant.server)
         } else {
             self.boot_may_take_work(data_centre, &grant.server, grant.boot)
         };
@@ -288,12 +289,25 @@
 
     /// Returns whether a server may be given new work now, as far as this instance knows.
     pub(crate) fn may_take_work(&self, data_centre: &str, server: &str) -> bool {
-        self.is_in_service(data_centre, server) && !self.coordinator.is_leaving(server)
+        self.would_take_work(data_centre, server) && self.backoffs.until(self.now, server).is_none()
+    }
+
+    /// Returns whether a server may be given new work now or after its backoff.
+    pub(crate) fn would_take_work(&self, data_centre: &str, server: &str) -> bool {
+        self.is_in_service(data_centre, server) && !self.is_leaving(server)
+    }
+
+    /// Returns whether the listed boot of a server has announced that it leaves.
+    fn is_leaving(&self, server: &str) -> bool {
+        let boot = self.servers.get(server).map_or(0, |listed| listed.boot);
+        self.coordinator.is_leaving(self.now, server, boot)
     }
 
     /// Returns whether a given boot of a server may be given new work now.
     fn boot_may_take_work(&self, data_centre: &str, server: &str, boot: wire::BootId) -> bool {
-        self.is_in_service(data_centre, server) && !self.coordinator.is_leaving_boot(server, boot)
+        self.is_in_service(data_centre, server)
+            && !self.coordinator.is_leaving_boot(server, boot)
+            && self.backoffs.until(self.now, server).is_none()
     }
 
     /// Returns the servers of a pool that may be given new work now, in all data centres.
@@ -312,11 +326,14 @@
     /// leaving server stays up until its own work ends.
     fn may_resume_at(&self, data_centre: &str, server: &str) -> bool {
         let config = self.config();
-        let leaving_since = self.list_state.leaving_since(server);
-        let in_window =
-            leaving_since.is_none_or(|at| self.now.saturating_sub(at) < LEAVING_RESUME_WINDOW);
         let drained = config.drained.contains(server);
-        let listed = self.servers.contains_key(server);
+        let boot = self.servers.get(server).map(|listed| listed.boot);
+        let announced = boot.and_then(|boot| self.coordinator.leaving_since(server, boot));
+        let in_window = [self.list_state.leaving_since(server), announced]
+            .into_iter()
+            .flatten()
+            .all(|at| self.now.saturating_sub(at) < LEAVING_RESUME_WINDOW);
+        let listed = boot.is_some();
         in_window && listed && !drained && route::choice::in_service(config, data_centre)
     }
 
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -115,6 +115,15 @@
     pub events: Vec<route::prefix::Event>,
 }
 
+/// What a backend server states about itself in the headers of a response.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ServerNotice {
+    /// Whether the server is about to shut down.
+    pub leaving: bool,
+    /// Time for which the server wants no requests of this instance, if it rejected one.
+    pub retry_after: Option<Duration>,
+}
+
 /// A command of the operators' command language.
 #[derive(Clone, Debug, PartialEq)]
 pub struct CommandLine {
@@ -168,6 +177,8 @@
     /// The result of a probe of a backend server, `None` if it did not answer. The time is that at
     /// which the probe was sent: after a pause of this process an answer may be old.
     Report(Name, Time, Option<ServerReport>),
+    /// What the given boot of a backend server stated about itself in a response.
+    ServerNotice(Name, BootId, ServerNotice),
     /// The store's answer to the call with this id.
     Store(u64, store::Answer),
     /// The platform's list of instances, and of backend servers where they are listed with them.
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -266,12 +266,30 @@
         if silent && self.place_by_fallback(id) {
             return;
         }
+        if self.end_if_pool_backs_off(id) {
+            return;
+        }
         match final_denial {
             Some(reason) if !silent || past_deadline => self.end(id, reason, Some(retry)),
             _ => self.set_timer(id, self.now + NO_CANDIDATE_PAUSE),
         }
     }
 
+    /// Ends a job if no server of its pool accepts requests of this instance before the job's
+    /// deadline. Returns whether the job was ended.
+    pub(crate) fn end_if_pool_backs_off(&mut self, id: RequestId) -> bool {
+        let job = &self.jobs[&id];
+        let Some(until) = self.pool_backoff(&job.route.pool) else {
+            return false;
+        };
+        if until < job.deadline {
+            return false;
+        }
+        let retry_after = until.saturating_sub(self.now);
+        self.end(id, Reason::Overloaded, Some(retry_after));
+        true
+    }
+
     /// Returns the data centres that have servers of a pool, with what is known of each.
     pub(crate) fn candidates(&self, pool: &str) -> BTreeMap<Name, Candidate> {
         let mut candidates: BTreeMap<Name, Candidate> = BTreeMap::new();
@@ -312,7 +330,7 @@
             pool: job.route.pool.clone(),
             data_centre: data_centre.clone(),
             work: job.work(self.expected_tokens(job)),
-            avoid: job.avoid.clone(),
+            avoid: self.excluded_servers(&job.avoid),
             suspect: status == Status::Suspect,
             wait_ms: if may_queue { wait_ms } else { 0 },
             resume_server: job
--- a/crates/exchange/src/codec.rs
+++ b/crates/exchange/src/codec.rs
@@ -12,6 +12,7 @@
 use hyper::http::response;
 use wigeon_core::Handle;
 use wigeon_core::Outcome;
+use wigeon_core::ServerNotice;
 use wigeon_core::message::Dispatch;
 use wire::admission::Endpoint;
 
@@ -115,6 +116,8 @@
     pub attempt_headers: fn(&RequestMeta, &AttemptContext<'_>) -> HeaderMap,
     /// Classifies a server's response by its status and headers.
     pub classify: fn(&RequestMeta, &response::Parts) -> ResponseKind,
+    /// Returns what a server states about itself in the head of any response.
+    pub server_notice: fn(&response::Parts) -> ServerNotice,
     /// Returns the call that makes a server replicate a generation's KV memory to another server.
     pub replicate_call: fn(&RequestMeta, &Endpoint) -> ReplicateCall,
     /// Returns the replica's name from the body of the response to that call.
--- a/crates/exchange/src/connection.rs
+++ b/crates/exchange/src/connection.rs
@@ -10,7 +10,6 @@
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
-use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::header::CONTENT_TYPE;
@@ -87,37 +86,58 @@
     Ok((guard, response))
 }
 
-/// Makes a server replicate a generation's KV memory. Returns the body of the response, or `None`
-/// if the call failed.
-pub async fn replicate(server: SocketAddr, call: ReplicateCall) -> Option<Bytes> {
+/// Makes a server replicate a generation's KV memory. Returns the response.
+///
+/// # Errors
+///
+/// Returns an error if the server is unreachable or its response is not complete.
+pub async fn replicate(
+    server: SocketAddr,
+    call: ReplicateCall,
+) -> Result<Response<Bytes>, ConnectionError> {
     let request = Request::builder()
         .method(Method::POST)
         .uri(call.path.as_str())
         .header(HOST, server.to_string())
         .header(CONTENT_TYPE, "application/json")
         .body(Full::from(call.body))
-        .ok()?;
-    let (_guard, response) = send_request(server, request).await.ok()?;
-    if response.status() != StatusCode::OK {
-        return None;
-    }
-    let body = Limited::new(response.into_body(), CONNECTION_BUFFER_BYTES);
-    Some(body.collect().await.ok()?.to_bytes())
+        .map_err(|_| ConnectionError::Unreachable)?;
+    fetch(server, request, CONNECTION_BUFFER_BYTES).await
 }
 
-/// Releases a replica at the server that made it.
+/// Releases a replica at the server that made it. Returns the response.
 ///
 /// # Errors
 ///
-/// Returns an error if the server is unreachable or does not respond.
-pub async fn release_replica(server: SocketAddr, path: &str) -> Result<(), ConnectionError> {
+/// Returns an error if the server is unreachable or its response is not complete.
+pub async fn release_replica(
+    server: SocketAddr,
+    path: &str,
+) -> Result<Response<Bytes>, ConnectionError> {
     let request = Request::builder()
         .method(Method::DELETE)
         .uri(path)
         .header(HOST, server.to_string())
         .body(Full::default())
         .map_err(|_| ConnectionError::Unreachable)?;
-    send_request(server, request).await.map(|_| ())
+    fetch(server, request, CONNECTION_BUFFER_BYTES).await
+}
+
+/// Sends a request and reads the whole response, whose body has at most `body_bytes_max` bytes.
+///
+/// # Errors
+///
+/// Returns an error if the server is unreachable, or if its response is not complete or too long.
+pub async fn fetch(
+    server: SocketAddr,
+    request: Request<Full<Bytes>>,
+    body_bytes_max: usize,
+) -> Result<Response<Bytes>, ConnectionError> {
+    let (_guard, response) = send_request(server, request).await?;
+    let (parts, body) = response.into_parts();
+    let body = Limited::new(body, body_bytes_max).collect().await;
+    let bytes = body.map_err(|_| ConnectionError::Lost)?.to_bytes();
+    Ok(Response::from_parts(parts, bytes))
 }
 
 /// Sets TCP options so that the kernel closes a connection whose peer does not respond, for example
--- a/crates/exchange/src/relay.rs
+++ b/crates/exchange/src/relay.rs
@@ -3,9 +3,10 @@
 //! A relay makes the attempts that the decider orders and reports their results. Its modules:
 //! `body` holds the bodies of requests and responses, `response` reads a server's response,
 //! `streaming` forwards a response to the caller over several attempts, `replication` keeps a
-//! replica of a running generation.
+//! replica of a running generation, `notice` reports what servers state about themselves.
 
 mod body;
+mod notice;
 mod replication;
 mod response;
 mod streaming;
@@ -60,6 +61,7 @@
 pub use crate::relay::body::Truncated;
 use crate::relay::body::empty_response;
 use crate::relay::body::read_body;
+use crate::relay::notice::NoticeReporter;
 use crate::relay::replication::Replication;
 use crate::relay::response::AttemptResult;
 use crate::relay::response::ResponseHead;
@@ -194,6 +196,8 @@
     /// The replica that the generation can be resumed from, if the server of an attempt has made
     /// one.
     replica_handle: Option<Handle>,
+    /// The server that made this replica, and its boot.
+    replica_source: Option<(wire::Name, wire::BootId)>,
 }
 
 /// Progress of a response stream.
@@ -288,6 +292,7 @@
             progress,
             replication: None,
             replica_handle: None,
+            replica_source: None,
         }
     }
 
@@ -367,6 +372,7 @@
         let classify = self.context.codec.classify;
         let expects_events = self.route.delivery == Delivery::Stream;
         let address = dispatch.address;
+        let notices = NoticeReporter::new(&self.context, dispatch.server.clone(), dispatch.boot);
         async move {
             let request = match request {
                 Some(request) => request,
@@ -378,6 +384,7 @@
                 Err(ConnectionError::Lost) => return AttemptResult::Lost,
             };
             let (parts, body) = response.into_parts();
+            notices.report(&parts).await;
             let head = ResponseHead::of(&parts);
             match classify(&meta, &parts) {
                 ResponseKind::NotExecuted | ResponseKind::Misdirected => AttemptResult::NotExecuted,
--- a/crates/exchange/src/relay/replication.rs
+++ b/crates/exchange/src/relay/replication.rs
@@ -1,9 +1,9 @@
 //! Replication of a running generation's KV memory from its server to another server.
 
-use std::net::SocketAddr;
 use std::pin::Pin;
 use std::time::Duration;
 
+use hyper::StatusCode;
 use tokio::task::JoinHandle;
 use wigeon_core::Event;
 use wigeon_core::Handle;
@@ -13,6 +13,7 @@
 use wire::admission::Endpoint;
 
 use super::Relay;
+use super::notice::NoticeReporter;
 use crate::connection;
 
 /// Timeout of one replication call. About 70 MB of KV memory take 200 ms on an otherwise idle link.
@@ -66,7 +67,7 @@
 impl Relay {
     /// Starts replication to `endpoint`, in place of a replication that may be running.
     pub(super) fn start_replication(&mut self, dispatch: &Dispatch, endpoint: Endpoint) {
-        let call = self.spawn_call(dispatch.address, &endpoint);
+        let call = self.spawn_call(dispatch, &endpoint);
         self.replication = Some(Replication {
             attempt: dispatch.attempt,
             endpoint,
@@ -81,23 +82,37 @@
             return;
         };
         let path = (self.context.codec.release_path)(&handle);
+        let notices = self
+            .replica_source
+            .take()
+            .map(|(server, boot)| NoticeReporter::new(&self.context, server, boot));
         tokio::spawn(async move {
             let releasing = connection::release_replica(handle.source, path.as_str());
             // If the call fails, the server releases the replica later by itself.
-            let _ = tokio::time::timeout(REPLICATION_TIMEOUT, releasing).await;
+            let released = tokio::time::timeout(REPLICATION_TIMEOUT, releasing).await;
+            if let (Ok(Ok(response)), Some(notices)) = (released, notices) {
+                notices.report(&response.into_parts().0).await;
+            }
         });
     }
 
-    fn spawn_call(&self, source: SocketAddr, endpoint: &Endpoint) -> ReplicationCall {
+    fn spawn_call(&self, dispatch: &Dispatch, endpoint: &Endpoint) -> ReplicationCall {
+        let source = dispatch.address;
+        let notices = NoticeReporter::new(&self.context, dispatch.server.clone(), dispatch.boot);
         let call = (self.context.codec.replicate_call)(&self.meta, endpoint);
         let replica_name = self.context.codec.replica_name;
         tokio::spawn(async move {
             let replicating = connection::replicate(source, call);
-            let body = tokio::time::timeout(REPLICATION_TIMEOUT, replicating)
+            let response = tokio::time::timeout(REPLICATION_TIMEOUT, replicating)
                 .await
-                .ok()
-                .flatten()?;
-            replica_name(&body)
+                .ok()?
+                .ok()?;
+            let (parts, body) = response.into_parts();
+            notices.report(&parts).await;
+            match parts.status {
+                StatusCode::OK => replica_name(&body),
+                _ => None,
+            }
         })
     }
 
@@ -116,7 +131,7 @@
         }
         match event {
             ReplicationEvent::Due => {
-                let call = self.spawn_call(dispatch.address, &replication.endpoint);
+                let call = self.spawn_call(dispatch, &replication.endpoint);
                 replication.stage = Stage::InFlight(call);
                 self.replication = Some(replication);
             }
@@ -130,6 +145,7 @@
                     self.release_replica();
                 }
                 self.replica_handle = Some(handle.clone());
+                self.replica_source = Some((dispatch.server.clone(), dispatch.boot));
                 let replica = Replica {
                     endpoint: replication.endpoint.clone(),
                     handle: Some(handle),
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -113,6 +113,11 @@
         /// The strikes.
         strikes: Vec<gossip::Strike>,
     },
+    /// Reports backend servers that announced their shutdown.
+    Leaving {
+        /// The servers.
+        servers: Vec<gossip::Leaving>,
+    },
     /// Requests a place on a backend server from the coordinator.
     Reserve(admission::Reservation),
     /// Reports that the coordinator has queued a reservation.
