Exchange whole views of the fleet, so that one that starts at once finds itself

Gossip carries six rumours a frame, and each instance then has as many to learn as there are instances. Instances with different views name different coordinators; requests wait for decisions that don't come (refused/no-server in every 2 s until 56 s) while engines have room. Ruled out: engines full of runs without a reader (over 1.5 s after the loss), cold rates, the list of servers (whole after 0.3 s), the configuration. Now pairs of instances exchange whole views (anti-entropy): an offer with a digest each 300 ms while it brings news, each 10 s otherwise, a view only where digests differ. Rumours learnt so are not gossiped again, so frames are left to changes.

--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -35,6 +35,16 @@
                 let sends = self.members.on_ping_request(self.now, from, probe, target);
                 self.send_all(sends);
             }
+            Body::SyncOffer { digest } => {
+                let sends = self.members.on_sync_offer(from, digest);
+                self.send_all(sends);
+            }
+            Body::SyncView { rumours, is_reply } => {
+                let sends = self
+                    .members
+                    .on_sync_view(self.now, from, &rumours, is_reply);
+                self.send_all(sends);
+            }
             body => self.on_body(from, body, age),
         }
     }
@@ -86,7 +96,11 @@
             Body::CopyFailed { attempt, pool } => self.on_copy_failed(attempt, &pool),
             Body::FetchServerList => self.on_fetch_server_list(from),
             Body::ServerList(list) => self.on_server_list(from, list),
-            Body::Ping { .. } | Body::Ack { .. } | Body::PingRequest { .. } => {}
+            Body::Ping { .. }
+            | Body::Ack { .. }
+            | Body::PingRequest { .. }
+            | Body::SyncOffer { .. }
+            | Body::SyncView { .. } => {}
         }
     }
 
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -24,10 +24,12 @@
 //! - [`membership`]: the SWIM state machine.
 //! - [`rendezvous`]: rendezvous hashing.
 //! - [`skew`]: ages of frames despite skewed wall clocks.
+//! - `sync`: exchanges of whole views, by which a fleet that starts at once finds itself.
 
 pub mod membership;
 pub mod rendezvous;
 pub mod skew;
+mod sync;
 
 pub use crate::membership::ListedInstance;
 pub use crate::membership::Membership;
--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -16,6 +16,7 @@
 use wire::gossip::State;
 
 use crate::rendezvous;
+use crate::sync::Schedule;
 
 /// Time between two probes.
 pub const PROBE_PERIOD: Duration = Duration::from_millis(300);
@@ -83,7 +84,8 @@
     local_targets: Vec<InstanceId>,
     remote_targets: Vec<InstanceId>,
     remaining_sends: BTreeMap<InstanceId, u32>,
-    rng: fastrand::Rng,
+    pub(crate) rng: fastrand::Rng,
+    pub(crate) sync: Schedule,
     next_probe: u64,
     ticks: u64,
     last_tick: Option<Time>,
@@ -126,6 +128,7 @@
             remote_targets: Vec::new(),
             remaining_sends: BTreeMap::new(),
             rng: fastrand::Rng::with_seed(seed),
+            sync: Schedule::default(),
             next_probe: 0,
             ticks: 0,
             last_tick: None,
@@ -255,6 +258,7 @@
         self.time_out_states(now);
         sends.extend(self.probe_next(now));
         sends.extend(self.reconnect());
+        sends.extend(self.offer_sync(now));
         Tick { sends, was_paused }
     }
 
@@ -335,6 +339,7 @@
     /// the own rumour.
     fn restart_timeouts(&mut self, now: Time) {
         self.probes.clear();
+        self.sync.restart();
         self.own.version += 1;
         for peer in self.peers.values_mut() {
             peer.state_since = now;
@@ -501,7 +506,7 @@
         self.send(target, body).into_iter().collect()
     }
 
-    fn send(&self, to: InstanceId, body: Body) -> Option<OutgoingFrame> {
+    pub(crate) fn send(&self, to: InstanceId, body: Body) -> Option<OutgoingFrame> {
         let address = self.entry(to)?.peers;
         Some(OutgoingFrame { address, to, body })
     }
@@ -509,7 +514,9 @@
     /// Merges the rumours of a frame into the view. The first rumour is about the frame's sender.
     fn merge_gossip(&mut self, now: Time, from: InstanceId, gossip: &Gossip) {
         for rumour in &gossip.rumours {
-            self.merge_rumour(now, rumour);
+            if self.merge_rumour(now, rumour) {
+                self.disseminate(rumour.entry.id);
+            }
         }
         if gossip
             .rumours
@@ -520,25 +527,27 @@
         }
     }
 
-    fn merge_rumour(&mut self, now: Time, rumour: &Rumour) {
+    /// Merges a rumour into the view. Returns whether it was newer than what was known.
+    pub(crate) fn merge_rumour(&mut self, now: Time, rumour: &Rumour) -> bool {
         let id = rumour.entry.id;
         if id == self.own.entry.id {
             self.refute(rumour);
-            return;
+            return false;
         }
         let is_newer = match self.peers.get(&id) {
             Some(peer) => (rumour.version, rumour.state) > (peer.rumour.version, peer.rumour.state),
             None => true,
         };
         if !is_newer {
-            return;
+            return false;
         }
         let peer = Peer {
             rumour: rumour.clone(),
             state_since: now,
         };
         self.peers.insert(id, peer);
-        self.disseminate(id);
+        self.changes += 1;
+        true
     }
 
     /// Refutes a rumour that this instance is suspect or dead, with a higher version of the own
--- a/crates/soak/src/simulation.rs
+++ b/crates/soak/src/simulation.rs
@@ -124,7 +124,11 @@
         let encoded = postcard::to_stdvec(frame).map_or(0, |bytes| bytes.len());
         let bytes = (encoded + TAG_BYTES) as u64;
         let category = match frame.body {
-            wire::Body::Ping { .. } | wire::Body::Ack { .. } | wire::Body::PingRequest { .. } => 0,
+            wire::Body::Ping { .. }
+            | wire::Body::Ack { .. }
+            | wire::Body::PingRequest { .. }
+            | wire::Body::SyncOffer { .. }
+            | wire::Body::SyncView { .. } => 0,
             wire::Body::Claim(_)
             | wire::Body::Claimed { .. }
             | wire::Body::Settle(_)
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -108,6 +108,18 @@
         /// The instance to be probed.
         target: InstanceId,
     },
+    /// Offers to synchronise the views of the fleet.
+    SyncOffer {
+        /// Hash of the running instances in the sender's view.
+        digest: u64,
+    },
+    /// Sends the sender's view of the fleet, or in reply to a view what that view lacks.
+    SyncView {
+        /// The rumours.
+        rumours: Vec<gossip::Rumour>,
+        /// Whether this is the reply to a view.
+        is_reply: bool,
+    },
     /// Reports requests that were running on a backend server when it crashed.
     Strikes {
         /// The strikes.
