Follow a store that is restored from an older copy

Every answer of the store names its era (Store-Era). A newer one, in any answer or in a peer's list, drops the calls in flight and lists every watched range again; revisions of the era before mean nothing. Lists are ordered by (era, revision), here and in frames. Configurations are ordered by the operators' own version, then by era and revision, so versions are 128 bits wide: one in force is not replaced by the copy's, a revoked key stays revoked. Withdrawals that the copy lacks are kept for 15 s, in which operators write them again; servers that it lacks for the 2 s of lapsed ones; servers removed within 60 s before are not used for 8 s although the copy lists them; what was seen leaving stays so for its life. Requests are refused at once while no server of their pool is in service; before, they waited a second. A test that counted on refusals taking no time outlasted the 15 s; the refusal at once mends that.

--- a/crates/conf/src/follower.rs
+++ b/crates/conf/src/follower.rs
@@ -137,7 +137,7 @@
             configs.push(change::apply(configs.last().unwrap(), &ops).unwrap());
             changes.push(Change {
                 id: version,
-                version,
+                version: version.into(),
                 who: "test".into(),
                 at_ms: 0,
                 ops,
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -59,7 +59,7 @@
 pub type Name = compact_str::CompactString;
 
 /// A version of the configuration, counted in changes. Zero is the empty configuration.
-pub type Version = u64;
+pub type Version = u128;
 
 /// Returns the hash by which the configuration stores an organisation's bearer token.
 pub fn hash_token(token: &str) -> Name {
--- a/crates/core/src/coordinator.rs
+++ b/crates/core/src/coordinator.rs
@@ -82,9 +82,16 @@
     first_at: Time,
     /// When the announcement was last repeated.
     announced_at: Time,
+    /// Whether the boot is known to leave. Otherwise its record may only be outdated.
+    is_final: bool,
 }
 
 impl LeaveAnnouncement {
+    /// Returns whether a boot never takes work again.
+    fn applies_to(&self, boot: BootId) -> bool {
+        self.is_final && self.boot != 0 && self.boot == boot
+    }
+
     fn is_recent(&self, now: Time) -> bool {
         now.saturating_sub(self.announced_at) < LEAVING_TTL
     }
@@ -126,9 +133,9 @@
     /// Returns whether the listed boot of a server announced that it leaves, or any boot did so
     /// recently.
     pub(crate) fn is_leaving(&self, now: Time, server: &str, listed: BootId) -> bool {
-        self.leaving
-            .get(server)
-            .is_some_and(|announcement| announcement.boot == listed || announcement.is_recent(now))
+        self.leaving.get(server).is_some_and(|announcement| {
+            announcement.applies_to(listed) || announcement.is_recent(now)
+        })
     }
 
     /// Returns whether a given boot of a server recently announced that it leaves. Boot id zero,
@@ -150,7 +157,7 @@
         let mut leaving: Vec<Leaving> = self
             .leaving
             .iter()
-            .filter(|(_, announcement)| announcement.is_recent(now))
+            .filter(|(_, announcement)| announcement.is_final && announcement.is_recent(now))
             .map(|(server, announcement)| Leaving {
                 server: server.clone(),
                 boot: announcement.boot,
@@ -259,6 +266,8 @@
             // at once.
             self.coordinator.next_probe = self.now;
         }
+        self.list_state
+            .record_removed(self.now, &self.servers, &servers);
         self.list_state.record_leaving(self.now, &servers);
         self.servers = servers;
         self.has_server_list = true;
@@ -295,8 +304,9 @@
             boot,
             first_at: earlier.map_or(announced_at, |known| known.first_at.min(announced_at)),
             announced_at,
+            is_final: true,
         };
-        if known.is_none_or(|known| known.announced_at < announced_at) {
+        if known.is_none_or(|known| !known.is_final || known.announced_at < announced_at) {
             self.coordinator
                 .leaving
                 .insert(server.clone(), announcement);
@@ -306,6 +316,20 @@
         }
     }
 
+    /// Excludes a boot of a server whose record may be outdated, for [`LEAVING_TTL`].
+    pub(crate) fn record_stale_record(&mut self, server: &Name, boot: BootId) {
+        let announcement = LeaveAnnouncement {
+            boot,
+            first_at: self.now,
+            announced_at: self.now,
+            is_final: false,
+        };
+        self.coordinator
+            .leaving
+            .entry(server.clone())
+            .or_insert(announcement);
+    }
+
     /// Creates, updates and drops schedulers according to the configuration, the server list and
     /// the membership.
     pub(crate) fn refresh_coordinators(&mut self) {
@@ -592,12 +616,15 @@
     fn tick_schedulers(&mut self) {
         let now = self.now;
         let servers = &self.servers;
+        let known_leaving = self.coordinator.leaving.len();
         // A boot that leaves never takes work again, even if an outdated list shows it as running.
         self.coordinator.leaving.retain(|server, announcement| {
-            let boot = servers.get(server).map(|listed| listed.boot);
-            let is_final = announcement.boot != 0 && boot == Some(announcement.boot);
-            is_final || announcement.is_recent(now)
+            let boot = servers.get(server).map_or(0, |listed| listed.boot);
+            announcement.applies_to(boot) || announcement.is_recent(now)
         });
+        if self.coordinator.leaving.len() < known_leaving {
+            self.refresh_coordinators();
+        }
         let mut replies = Vec::new();
         let mut holders_to_query = Vec::new();
         let mut copies = Vec::new();
--- a/crates/core/src/listing.rs
+++ b/crates/core/src/listing.rs
@@ -13,7 +13,9 @@
 use clock::Time;
 use conf::Name;
 use wire::Body;
+use wire::BootId;
 use wire::InstanceId;
+use wire::server_list::Era;
 use wire::server_list::Revision;
 use wire::server_list::ServerListUpdate;
 
@@ -25,18 +27,25 @@
 /// Time without a frame of the reader after which an instance reads the list itself. A reader reads
 /// the list several times a second.
 const SILENCE_MAX: Duration = Duration::from_millis(900);
+/// Time for which a removed server is remembered. A store may be restored from a copy some seconds
+/// old, in which the server is still listed.
+const REMOVED_RETENTION: Duration = Duration::from_secs(60);
 /// Time after which one more instance starts to read the list while no frame arrives.
 const TAKEOVER_PERIOD: Duration = Duration::from_millis(700);
 
 /// State of following the server list.
 #[derive(Debug, Default)]
 pub(crate) struct ListState {
+    /// Era of the store to which the revision belongs.
+    era: Era,
     /// Revision of the store as of which the list is current.
     revision: Revision,
     /// When the list was last read or confirmed by a frame. `None` before the first time.
     last_update: Option<Time>,
     /// When each leaving server was first listed as leaving.
     leaving_since: BTreeMap<Name, Time>,
+    /// The servers that were removed lately, with their boot and the time of their removal.
+    removed: BTreeMap<Name, (BootId, Time)>,
 }
 
 impl ListState {
@@ -50,6 +59,27 @@
         self.leaving_since.get(server).copied()
     }
 
+    /// Returns the era and the revision of the store as of which the list is current.
+    fn position(&self) -> (Era, Revision) {
+        (self.era, self.revision)
+    }
+
+    /// Records the servers of the current list that a new list lacks.
+    pub(crate) fn record_removed(
+        &mut self,
+        now: Time,
+        current: &BTreeMap<Name, ListedServer>,
+        new: &BTreeMap<Name, ListedServer>,
+    ) {
+        self.removed
+            .retain(|_, (_, at)| now.saturating_sub(*at) < REMOVED_RETENTION);
+        for server in current.values() {
+            if server.boot != 0 && !new.contains_key(&server.name) {
+                self.removed.insert(server.name.clone(), (server.boot, now));
+            }
+        }
+    }
+
     /// Records which servers of a new list are leaving.
     pub(crate) fn record_leaving(&mut self, now: Time, servers: &BTreeMap<Name, ListedServer>) {
         let is_leaving = |name: &Name| servers.get(name).is_some_and(|server| server.leaving);
@@ -87,18 +117,23 @@
     /// Installs a list that this instance has read in the store, and sends the changes to the other
     /// instances of its data centre.
     pub(crate) fn on_server_list_read(&mut self, list: ServerListUpdate) {
-        if list.revision < self.list_state.revision {
+        if (list.era, list.revision) < self.list_state.position() {
             return;
         }
-        let base_revision = self.list_state.revision;
+        // Changes can only be counted from a revision of the same era.
+        let base_revision = match list.era == self.list_state.era {
+            true => self.list_state.revision,
+            false => 0,
+        };
         let servers: BTreeMap<Name, ListedServer> = list
             .servers
             .into_iter()
             .map(|server| (server.name.clone(), server))
             .collect();
+        let is_changed = |server: &&ListedServer| self.servers.get(&server.name) != Some(*server);
         let changed = servers
             .values()
-            .filter(|server| self.servers.get(&server.name) != Some(server))
+            .filter(|server| base_revision == 0 || is_changed(server))
             .cloned()
             .collect();
         let removed = self
@@ -108,22 +143,63 @@
             .cloned()
             .collect();
         let update = ServerListUpdate {
+            era: list.era,
             base_revision,
             revision: list.revision,
             servers: changed,
             removed,
             config_version: self.config.follower.version(),
         };
-        self.record_list_update(list.revision);
-        if !update.servers.is_empty() || !update.removed.is_empty() || !self.has_server_list {
+        let is_restored = self.record_list_update(list.era, list.revision);
+        if is_restored
+            || !update.servers.is_empty()
+            || !update.removed.is_empty()
+            || !self.has_server_list
+        {
             self.install_servers(servers);
         }
+        if is_restored {
+            self.distrust_removed_servers();
+        }
         self.broadcast_list_changes(&update);
     }
 
-    fn record_list_update(&mut self, revision: Revision) {
-        self.list_state.revision = self.list_state.revision.max(revision);
+    /// Records that the list is current as of a revision. Returns whether the store was restored
+    /// from an older copy since the revision before.
+    fn record_list_update(&mut self, era: Era, revision: Revision) -> bool {
+        let known = self.list_state.position();
+        (self.list_state.era, self.list_state.revision) = known.max((era, revision));
+        let is_first = self.list_state.last_update.is_none();
         self.list_state.last_update = Some(self.now);
+        !is_first && era > known.0
+    }
+
+    /// Returns the era of the store in which the current list was read.
+    pub fn store_era(&self) -> Era {
+        self.list_state.era
+    }
+
+    /// Excludes the servers that were removed shortly before the store was restored and that the
+    /// older copy lists again. Records of servers that are gone lapse within that time.
+    fn distrust_removed_servers(&mut self) {
+        let era = self.list_state.era;
+        let text = format!("The store was restored from an older copy (era {era}).");
+        self.log("list", true, text);
+        for (server, (boot, _)) in self.list_state.removed.clone() {
+            if self
+                .servers
+                .get(&server)
+                .is_some_and(|listed| listed.boot == boot)
+            {
+                let text = format!(
+                    "Server {server} (boot {boot}) was removed before the restore and gets no \
+                     work until its record proves current."
+                );
+                self.log("list", false, text);
+                self.record_stale_record(&server, boot);
+            }
+        }
+        self.refresh_coordinators();
     }
 
     /// Sends changes of the list to all other instances of the data centre.
@@ -142,10 +218,12 @@
     /// Applies the changes or the whole list that another instance has sent.
     pub(crate) fn on_server_list(&mut self, from: InstanceId, update: ServerListUpdate) {
         self.observe_version(from, update.config_version);
-        if update.revision < self.list_state.revision {
+        let known_era = self.list_state.era;
+        if (update.era, update.revision) < self.list_state.position() {
             return;
         }
         if update.base_revision > self.list_state.revision
+            || (update.base_revision > 0 && update.era > known_era)
             || (update.base_revision > 0 && !self.has_server_list)
         {
             self.send(from, Body::FetchServerList);
@@ -163,10 +241,13 @@
         for name in update.removed {
             servers.remove(&name);
         }
-        self.record_list_update(update.revision);
+        let is_restored = self.record_list_update(update.era, update.revision);
         if has_changes && (servers != self.servers || !self.has_server_list) {
             self.install_servers(servers);
         }
+        if is_restored {
+            self.distrust_removed_servers();
+        }
     }
 
     /// Sends the whole list to an instance that has requested it.
@@ -175,6 +256,7 @@
             return;
         }
         let full_list = ServerListUpdate {
+            era: self.list_state.era,
             base_revision: 0,
             revision: self.list_state.revision,
             servers: self.servers.values().cloned().collect(),
--- a/crates/core/src/local.rs
+++ b/crates/core/src/local.rs
@@ -75,7 +75,7 @@
         }
         match best.map(|(_, server)| server.clone()) {
             Some(server) => self.dispatch_to(id, &server),
-            None if self.end_if_pool_backs_off(id) => {}
+            None if self.end_if_pool_is_closed(id) => {}
             None => self.set_timer(id, self.now + NO_SERVER_PAUSE),
         }
     }
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -43,6 +43,8 @@
 /// Age up to which a grant may be used. The coordinator holds the granted place longer than this,
 /// by more than the time that a frame takes.
 const GRANT_AGE_MAX: Duration = Duration::from_millis(700);
+/// Retry-after of a request of a pool without a server in service.
+const NO_SERVER_RETRY_AFTER: Duration = Duration::from_millis(1_000);
 /// Time that a coordinator has to answer a reservation for resuming from a copy. The caller sees
 /// this as a gap between tokens, for which a route's objective allows less than 200 ms.
 const COPY_RESERVATION_TIMEOUT: Duration = Duration::from_millis(30);
@@ -266,7 +268,7 @@
         if silent && self.place_by_fallback(id) {
             return;
         }
-        if self.end_if_pool_backs_off(id) {
+        if self.end_if_pool_is_closed(id) {
             return;
         }
         match final_denial {
@@ -275,10 +277,15 @@
         }
     }
 
-    /// Ends a job if no server of its pool accepts requests of this instance before the job's
-    /// deadline. Returns whether the job was ended.
-    pub(crate) fn end_if_pool_backs_off(&mut self, id: RequestId) -> bool {
+    /// Ends a job that is known not to be served before its deadline: no server of its pool is in
+    /// service, or none accepts requests of this instance in time. Returns whether the job was ended.
+    pub(crate) fn end_if_pool_is_closed(&mut self, id: RequestId) -> bool {
         let job = &self.jobs[&id];
+        // Without a list it is not known which servers there are.
+        if self.has_server_list && !self.has_server_in_service(&job.route.pool) {
+            self.end(id, Reason::NoServer, Some(NO_SERVER_RETRY_AFTER));
+            return true;
+        }
         let Some(until) = self.pool_backoff(&job.route.pool) else {
             return false;
         };
@@ -290,6 +297,18 @@
         true
     }
 
+    /// Returns whether any server of a pool takes work now or after a backoff.
+    fn has_server_in_service(&self, pool_name: &str) -> bool {
+        let Some(pool) = self.config().pools.get(pool_name) else {
+            return false;
+        };
+        let label = pool.label(pool_name);
+        self.servers
+            .values()
+            .filter(|server| server.label == label)
+            .any(|server| self.would_take_work(&server.data_centre, &server.name))
+    }
+
     /// Returns the data centres that have servers of a pool, with what is known of each.
     pub(crate) fn candidates(&self, pool: &str) -> BTreeMap<Name, Candidate> {
         let mut candidates: BTreeMap<Name, Candidate> = BTreeMap::new();
--- a/crates/core/src/tables.rs
+++ b/crates/core/src/tables.rs
@@ -72,7 +72,7 @@
                 entry.name.as_str().into(),
                 entry.data_centre.as_str().into(),
                 state_name(rumour.state).into(),
-                version.into(),
+                version.to_string().into(),
                 format!("{:016x}", entry.id).into(),
                 entry.operators.to_string().into(),
             ]);
@@ -260,7 +260,7 @@
             let at = Duration::from_millis(change.at_ms).as_secs();
             let ops = serde_json::to_string(&change.ops).unwrap_or_default();
             table.push(vec![
-                change.version.into(),
+                change.version.to_string().into(),
                 change.who.as_str().into(),
                 at.into(),
                 ops.into(),
--- a/crates/core/tests/driver/mod.rs
+++ b/crates/core/tests/driver/mod.rs
@@ -147,6 +147,7 @@
     pub fn send_server_list(&mut self) {
         self.revision += 1;
         let list = ServerListUpdate {
+            era: 0,
             base_revision: 0,
             revision: self.revision,
             servers: self.servers.clone(),
--- a/crates/core/tests/listing.rs
+++ b/crates/core/tests/listing.rs
@@ -121,6 +121,7 @@
                     self.reads[index] += 1;
                     self.revision += 1;
                     let list = ServerListUpdate {
+                        era: 0,
                         base_revision: 0,
                         revision: self.revision,
                         servers: servers.to_vec(),
--- a/crates/core/tests/spill.rs
+++ b/crates/core/tests/spill.rs
@@ -96,6 +96,7 @@
             })
             .collect();
         let list = ServerListUpdate {
+            era: 0,
             base_revision: 0,
             revision: 3,
             servers: vec![server("near", "east", 81), server("far", "west", 82)],
--- a/crates/core/tests/versions.rs
+++ b/crates/core/tests/versions.rs
@@ -26,7 +26,7 @@
     lossy: bool,
 }
 
-fn config(version: u64, pool: &str) -> Arc<Config> {
+fn config(version: conf::Version, pool: &str) -> Arc<Config> {
     let mut config = Config {
         version,
         ..Config::default()
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -264,7 +264,7 @@
     }
 
     /// Sets the version of the configuration in force.
-    pub fn set_config_version(&self, version: u64) {
+    pub fn set_config_version(&self, version: conf::Version) {
         self.config_version
             .set(i64::try_from(version).unwrap_or(i64::MAX));
     }
--- a/crates/gateway/src/runtime.rs
+++ b/crates/gateway/src/runtime.rs
@@ -132,6 +132,7 @@
             ready: false,
             idle: true,
             should_read_server_list: false,
+            store_era: 0,
             id,
         });
         let (next_tick, next_tick_receiver) = watch::channel(None);
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -83,7 +83,7 @@
 /// a version decreased.
 #[derive(Default)]
 struct ConfigVersions {
-    last: BTreeMap<(usize, u64), u64>,
+    last: BTreeMap<(usize, u64), conf::Version>,
     reverted: u64,
 }
 
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -211,7 +211,7 @@
 }
 
 fn check_config_versions(sim: &mut Simulation) {
-    let versions: Vec<u64> = sim
+    let versions: Vec<conf::Version> = sim
         .nodes
         .iter()
         .map(|node| node.instance.config().version)
--- a/crates/soak/src/simulation.rs
+++ b/crates/soak/src/simulation.rs
@@ -265,7 +265,7 @@
     pub taken_out_since: BTreeMap<Name, Time>,
     /// Time at which links or the store were last repaired.
     pub repaired_at: Time,
-    newest_config_version: u64,
+    newest_config_version: conf::Version,
     /// Descriptions of the violated invariants. The first violation stops the run.
     pub violations: Vec<String>,
     /// The newest events, oldest first.
--- a/crates/watch/src/lib.rs
+++ b/crates/watch/src/lib.rs
@@ -36,6 +36,11 @@
 //! - During an outage of the store, items with a lease may expire although their owners are alive.
 //!   The owners write them again when the store recovers. Items found missing after an outage are
 //!   kept for [`Limits::grace`] and removed only if they are still missing then.
+//! - The store may be restored from an older copy, which begins a new [`Era`]: revisions go back and
+//!   are given out again, so those of the era before mean nothing. The range is listed again and
+//!   replaces the items whatever their revisions. Items that the copy lacks may have been written
+//!   shortly before the restore and are kept for [`Limits::restore_grace`], in which their owners
+//!   write them again.
 //! - After failures the watcher backs off exponentially with jitter, so that not all clients call a
 //!   recovering store at once.
 
@@ -50,6 +55,9 @@
 /// Revision of the store, which each change increments.
 pub type Revision = u64;
 
+/// Number of times that the store was restored from an older copy.
+pub type Era = u64;
+
 /// Backoff after the first failure, before jitter.
 const BACKOFF_MIN: Duration = Duration::from_millis(100);
 
@@ -61,6 +69,8 @@
     pub pace: Duration,
     /// Time for which items that expired during an outage of the store are kept after its recovery.
     pub grace: Duration,
+    /// Time for which items are kept that a restored store lacks.
+    pub restore_grace: Duration,
     /// Time of continuous failures after which the store counts as unavailable.
     pub away: Duration,
     /// Longest backoff after a failure, and so the longest time until a recovery of the store is
@@ -73,6 +83,7 @@
         Limits {
             pace: Duration::ZERO,
             grace: Duration::ZERO,
+            restore_grace: Duration::ZERO,
             away: Duration::from_millis(1_000),
             pause: Duration::from_millis(1_000),
         }
@@ -182,6 +193,8 @@
     pub confirmed: bool,
     /// Whether at least one item has changed.
     pub changed: bool,
+    /// Whether items were removed whose grace period has ended.
+    pub expired: bool,
     /// Whether the store has answered again after an outage.
     pub regained: bool,
     /// Whether the store counts as unavailable from now on.
@@ -194,6 +207,7 @@
     limits: Limits,
     items: BTreeMap<Key, Item<T>>,
     state: State<T>,
+    era: Era,
     revision: Revision,
     changed_at: Revision,
     next_call: Time,
@@ -201,8 +215,11 @@
     failures: u32,
     failing_since: Option<Time>,
     unavailable: bool,
+    /// The missing items that are kept, with the time of their removal.
     expired: BTreeMap<Key, Time>,
     grace_until: Time,
+    /// Until when items that the restored store lacks are kept.
+    restore_grace_until: Time,
     rng: fastrand::Rng,
 }
 
@@ -235,6 +252,7 @@
             limits,
             items: BTreeMap::new(),
             state: State::listing(),
+            era: 0,
             revision: 0,
             changed_at: 0,
             next_call: Time::ZERO,
@@ -244,6 +262,7 @@
             unavailable: false,
             expired: BTreeMap::new(),
             grace_until: Time::ZERO,
+            restore_grace_until: Time::ZERO,
             rng: fastrand::Rng::with_seed(seed),
         }
     }
@@ -264,6 +283,11 @@
         self.changed_at
     }
 
+    /// Returns the era of the store to which the revisions belong.
+    pub fn era(&self) -> Era {
+        self.era
+    }
+
     /// Returns whether the store counts as unavailable.
     pub fn is_away(&self) -> bool {
         self.unavailable
@@ -281,6 +305,28 @@
         self.call_in_flight = false;
     }
 
+    /// Records the era of an answer of the store. With a newer era than before, the range is listed
+    /// again after `delay`, and a call in flight is not waited for. Returns whether it is newer.
+    pub fn observe_era(&mut self, now: Time, era: Era, delay: Duration) -> bool {
+        if era <= self.era {
+            return false;
+        }
+        self.era = era;
+        if self.revision == 0 && self.items.is_empty() {
+            self.restart();
+            return true;
+        }
+        for item in self.items.values_mut() {
+            item.revision = 0;
+        }
+        self.revision = 0;
+        self.changed_at = 0;
+        self.restore_grace_until = now + self.limits.restore_grace;
+        self.next_call = now + delay;
+        self.restart();
+        true
+    }
+
     /// Returns the call that is due, if any, and marks it as in flight until its outcome is passed
     /// to [`Watcher::answer`].
     pub fn due(&mut self, now: Time) -> Option<Call> {
@@ -301,11 +347,12 @@
     /// Returns when the next call or the next removal of expired items is due.
     pub fn next_wake(&self) -> Option<Time> {
         let call = (!self.call_in_flight).then_some(self.next_call);
-        let expiry = (!self.expired.is_empty()).then_some(self.grace_until);
+        let expiry = self.expired.values().min().copied();
         [call, expiry].into_iter().flatten().min()
     }
 
-    /// Handles the outcome of the call in flight.
+    /// Handles the outcome of the call in flight. The era of the answer must have been passed to
+    /// [`Watcher::observe_era`] before, and an answer with another era must not be passed here.
     pub fn answer(&mut self, now: Time, answer: Answer<T>) -> News {
         self.call_in_flight = false;
         if answer == Answer::Failed {
@@ -330,15 +377,18 @@
         update
     }
 
-    /// Removes the expired items if the grace period has ended. Returns whether there were any.
+    /// Removes the expired items whose grace period has ended. Returns whether there were any.
     pub fn expire(&mut self, now: Time) -> bool {
-        if self.expired.is_empty() || now < self.grace_until {
-            return false;
-        }
-        for key in std::mem::take(&mut self.expired).into_keys() {
-            self.items.remove(&key);
-        }
-        true
+        let count = self.items.len();
+        let items = &mut self.items;
+        self.expired.retain(|key, until| {
+            if now < *until {
+                return true;
+            }
+            items.remove(key);
+            false
+        });
+        self.items.len() < count
     }
 
     fn record_failure(&mut self, now: Time) -> News {
@@ -406,7 +456,8 @@
             .cloned()
             .collect();
         for key in missing {
-            update.changed |= self.remove_or_keep(now, key);
+            let until = self.grace_until.max(self.restore_grace_until);
+            update.changed |= self.remove_or_keep(now, key, until);
         }
         for item in listed.into_values() {
             update.changed |= self.upsert(item);
@@ -430,7 +481,8 @@
                 Event::Removed { key, revision } => {
                     let known = self.items.get(&key).map(|item| item.revision);
                     let newer = known.is_some_and(|known| known < revision);
-                    (newer && self.remove_or_keep(now, key), revision)
+                    let until = self.grace_until;
+                    (newer && self.remove_or_keep(now, key, until), revision)
                 }
             };
             if changed {
@@ -455,11 +507,11 @@
         changed
     }
 
-    /// Removes a missing item, or keeps it during the grace period after an outage. Returns whether
-    /// the item was removed.
-    fn remove_or_keep(&mut self, now: Time, key: Key) -> bool {
-        if now < self.grace_until {
-            self.expired.insert(key, now);
+    /// Removes a missing item, or keeps it until the end of its grace period. Returns whether the
+    /// item was removed.
+    fn remove_or_keep(&mut self, now: Time, key: Key, until: Time) -> bool {
+        if now < until {
+            self.expired.insert(key, until);
             return false;
         }
         self.expired.remove(&key);
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -59,7 +59,7 @@
 /// Hash of an idempotency key with its organisation and route.
 pub type Key = u128;
 /// Version number of the configuration.
-pub type Version = u64;
+pub type Version = u128;
 
 /// Maximum size of a frame that is sent as a UDP datagram, in bytes. Larger frames are sent over
 /// TCP.
--- a/crates/wire/src/server_list.rs
+++ b/crates/wire/src/server_list.rs
@@ -16,9 +16,15 @@
 /// Revision of the platform's store.
 pub type Revision = u64;
 
+/// Number of times that the platform's store was restored from an older copy. A restore sets the
+/// revision back, so revisions are ordered only within an era.
+pub type Era = u64;
+
 /// The changes of the list between two revisions.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct ServerListUpdate {
+    /// Era of the store in which the list was read.
+    pub era: Era,
     /// Revision to which the changes apply. Zero if `servers` is the whole list.
     pub base_revision: Revision,
     /// Revision of the list after the changes.
