--- a/crates/exchange/src/listener.rs
+++ b/crates/exchange/src/listener.rs
@@ -81,10 +81,33 @@
             }
         }
     }
-    drop(listener);
+    // Connections that were established before are in the kernel's queue, which would reset them.
+    for stream in established(listener) {
+        connections.spawn(serve_connection(stream, context.clone(), phase.clone()));
+    }
     while connections.join_next().await.is_some() {}
 }
 
+/// Closes a listener and returns the connections that were established but not accepted yet.
+pub fn established(listener: TcpListener) -> Vec<TcpStream> {
+    let mut streams = Vec::new();
+    let accepting = || -> io::Result<()> {
+        let listener = listener.into_std()?;
+        loop {
+            let (stream, _) = listener.accept()?;
+            stream.set_nonblocking(true)?;
+            streams.push(TcpStream::from_std(stream)?);
+        }
+    };
+    match accepting() {
+        Err(error) if error.kind() != io::ErrorKind::WouldBlock => {
+            log::warn!("entry: Can't accept a connection during the shutdown: {error}.");
+        }
+        _ => {}
+    }
+    streams
+}
+
 async fn serve_connection(
     stream: TcpStream,
     context: Arc<RelayContext>,
--- a/crates/exchange/src/relay/response.rs
+++ b/crates/exchange/src/relay/response.rs
@@ -148,6 +148,10 @@
                 }
             }
         }
+        if buffer.len() > BUFFERED_BYTES_MAX && is_error {
+            // Another attempt may replace an error, so it is not forwarded as it arrives.
+            return AttemptResult::Lost;
+        }
         if buffer.len() > BUFFERED_BYTES_MAX {
             let stream = ResponseStream {
                 body,
--- a/crates/exchange/src/relay/streaming.rs
+++ b/crates/exchange/src/relay/streaming.rs
@@ -9,6 +9,7 @@
 use hyper::Response;
 use hyper::StatusCode;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 use wigeon_core::Event;
 use wigeon_core::message::Dispatch;
 
@@ -28,9 +29,12 @@
 const QUEUED_EVENTS_MAX: usize = 16;
 /// Number of events between two progress reports to the decider.
 const EVENTS_PER_REPORT: u32 = 8;
-/// Time without an event after which a stream is resumed from its replica. Engines send an event
-/// every 30 to 90 ms; a server that sends none for this long has crashed or is partitioned.
+/// Time without a new event after which a stream is resumed from its replica. Engines send an event
+/// every 30 to 90 ms; a server that sends none for this long has crashed or is partitioned. Bytes
+/// that complete no new event do not count, since a stalled server may still send some.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(700);
+/// Maximum number of bytes in events that the caller already has, between two new events.
+const REPEATED_BYTES_MAX: usize = 256 * 1_024;
 
 impl Relay {
     /// Spawns a task that forwards the rest of a response, and returns the response with its head.
@@ -113,14 +117,18 @@
         self.send_event(&dispatch, Event::FirstToken).await;
         let mut stream = Some(stream);
         let mut queue: VecDeque<Bytes> = VecDeque::new();
+        let mut progressed_at = Instant::now();
+        let mut repeated_bytes = 0;
         loop {
             let times_out = stream.is_some() && queue.is_empty() && self.has_replica(&dispatch);
-            let timeout = times_out.then_some(SILENCE_TIMEOUT);
+            let silent_at = times_out.then_some(progressed_at + SILENCE_TIMEOUT);
             tokio::select! {
                 biased;
                 permit = caller.reserve(), if !queue.is_empty() => match permit {
                     Ok(permit) => if let Some(bytes) = queue.pop_front() {
                         permit.send(Ok(bytes));
+                        // While the caller is behind, no event is expected from the server.
+                        progressed_at = Instant::now();
                     },
                     Err(_) => return,
                 },
@@ -138,6 +146,8 @@
                         }
                         stream = self.resume(&next, &caller).await;
                         dispatch = next;
+                        progressed_at = Instant::now();
+                        repeated_bytes = 0;
                     }
                     RelayCommand::Copy(attempt, endpoint) if attempt == dispatch.attempt => {
                         self.start_replication(&dispatch, endpoint);
@@ -154,13 +164,25 @@
                 event = Replication::next(&mut self.replication) => {
                     self.on_replication_event(&dispatch, event).await;
                 }
-                item = next_item(&mut stream, timeout), if queue.len() < QUEUED_EVENTS_MAX => {
+                item = next_item(&mut stream, silent_at), if queue.len() < QUEUED_EVENTS_MAX => {
                     match item {
                         StreamItem::Event(event) => {
+                            let size = event.bytes.len();
+                            let has_id = event.id.is_some();
                             if let Some(bytes) = self.accept_event(event) {
                                 queue.push_back(bytes);
+                                if has_id {
+                                    progressed_at = Instant::now();
+                                    repeated_bytes = 0;
+                                }
+                            } else {
+                                repeated_bytes += size;
                             }
                             self.report_progress(&dispatch).await;
+                            if repeated_bytes > REPEATED_BYTES_MAX {
+                                stream = None;
+                                self.lose_stream(&dispatch, "repeating").await;
+                            }
                         }
                         StreamItem::End => {
                             let event = self.completion_event();
@@ -177,9 +199,7 @@
                             // Closes the connection before the report, so that the server has
                             // stopped the generation when the decider orders the next attempt.
                             stream = None;
-                            self.log_failed_attempt(&dispatch, "broken");
-                            let event = self.lost_event();
-                            self.send_event(&dispatch, event).await;
+                            self.lose_stream(&dispatch, "broken").await;
                         }
                     }
                 }
@@ -187,6 +207,13 @@
         }
     }
 
+    /// Reports to the decider that the stream of an attempt was lost.
+    async fn lose_stream(&mut self, dispatch: &Dispatch, result: &'static str) {
+        self.log_failed_attempt(dispatch, result);
+        let event = self.lost_event();
+        self.send_event(dispatch, event).await;
+    }
+
     /// Returns whether the attempt's generation has a replica: one that the dispatch named, or one
     /// that was made during the attempt.
     fn has_replica(&self, dispatch: &Dispatch) -> bool {
@@ -274,14 +301,14 @@
     }
 }
 
-/// Waits for the next part of the stream. Without a stream it waits forever, and a stream that is
-/// silent for `timeout` counts as truncated.
-async fn next_item(stream: &mut Option<ResponseStream>, timeout: Option<Duration>) -> StreamItem {
+/// Waits for the next part of the stream. Without a stream it waits forever, and a stream without a
+/// new event until `silent_at` counts as truncated.
+async fn next_item(stream: &mut Option<ResponseStream>, silent_at: Option<Instant>) -> StreamItem {
     let Some(stream) = stream else {
         return std::future::pending().await;
     };
-    match timeout {
-        Some(timeout) => match tokio::time::timeout(timeout, stream.next()).await {
+    match silent_at {
+        Some(silent_at) => match tokio::time::timeout_at(silent_at, stream.next()).await {
             Ok(item) => item,
             Err(_) => StreamItem::Truncated,
         },
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -165,6 +165,15 @@
     }
 }
 
+/// Returns a client for generations and calls, which opens a connection for each request.
+///
+/// A server may send a second copy of a response late. On a connection that is in use again, it
+/// would be taken for the response to the next request. After a failure on a reused connection, it
+/// is also unknown whether the request has run.
+pub fn client() -> HttpClient {
+    http::client(false)
+}
+
 /// Starts a generation and returns a reader of its lines.
 ///
 /// # Errors
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -105,8 +105,7 @@
         let relay_context = Arc::new(RelayContext {
             decider: decider.clone(),
             relays,
-            client,
-            call_client: http::client(false),
+            client: backend::client(),
             clock,
             partition: partition.clone(),
             metrics: metrics.clone(),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -83,11 +83,8 @@
     pub decider: Address<Decider>,
     /// The registry of all relays.
     pub relays: Arc<Relays>,
-    /// HTTP client for engines, with keep-alive connections.
+    /// HTTP client for backend servers, made by [`backend::client`].
     pub client: HttpClient,
-    /// HTTP client for plain services, with a new connection for each call: after a failure on a
-    /// keep-alive connection that the server has just closed, it is unknown whether the call ran.
-    pub call_client: HttpClient,
     /// The clock for all timeouts and measured times.
     pub clock: Arc<dyn Clock>,
     /// Links that an experiment has cut.
@@ -261,7 +258,7 @@
                 Link::Opening(Box::pin(backend::generate(client, dispatch.address, body)))
             }
             Payload::Call { path, media, body } => {
-                let client = self.context.call_client.clone();
+                let client = self.context.client.clone();
                 let (path, media, body) = (path.clone(), media.clone(), body.clone());
                 let call = backend::call(client, dispatch.address, path, media, body);
                 Link::Calling(Box::pin(call))
