--- a/crates/exchange/src/relay/streaming.rs
+++ b/crates/exchange/src/relay/streaming.rs
@@ -125,11 +125,15 @@
             tokio::select! {
                 biased;
                 permit = caller.reserve(), if !queue.is_empty() => match permit {
-                    Ok(permit) => if let Some(bytes) = queue.pop_front() {
-                        permit.send(Ok(bytes));
-                        // While the caller is behind, no event is expected from the server.
-                        progressed_at = Instant::now();
-                    },
+                    Ok(permit) => {
+                        if queue.len() >= QUEUED_EVENTS_MAX {
+                            // Nothing was read from the server while the caller was behind.
+                            progressed_at = Instant::now();
+                        }
+                        if let Some(bytes) = queue.pop_front() {
+                            permit.send(Ok(bytes));
+                        }
+                    }
                     Err(_) => return,
                 },
                 () = caller.closed() => return,
