Let one instance of a data centre read the operators' records for the others

Now the reader of the servers watches the records too and forwards a configuration along a tree (four followers each) over its data centre; digests in list frames and gossip spare what is the same. Above 96 KiB only the version is forwarded and each instance reads for itself. Versions of equal content: the first list of a watcher now counts from its newest item, not from the store's revision, so instances agree on them. A test of versions expected that nothing is sent when two instances adopt the same; it now counts from after the adoption, as the reader forwards at that moment.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -28,6 +28,7 @@
 
 use crate::instance::CallOrigin;
 use crate::instance::Instance;
+use crate::listing::READER_KEY;
 use crate::message::CommandLine;
 use crate::message::CommandReply;
 use crate::settings::Source;
@@ -44,9 +45,19 @@
 const CALL_QUEUE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Least time between two requests to other instances for a newer configuration.
 const FETCH_PERIOD_MIN: Duration = Duration::from_millis(150);
-/// Time that an instance with an external configuration has to read a newer version itself, before
-/// it fetches that version from another instance.
+/// Time in which a newer external configuration arrives from the instances that have read it. An
+/// instance that has not received it by then reads it itself.
+const EXTERNAL_PUSH_GRACE: Duration = Duration::from_millis(400);
+/// Time after which an instance that can't read a newer external configuration itself fetches it
+/// from another instance.
 const EXTERNAL_READ_GRACE: Duration = Duration::from_millis(700);
+/// Number of instances to which each instance of a data centre forwards a new external
+/// configuration.
+const FORWARD_FANOUT: usize = 4;
+/// Maximum size of an external configuration that is forwarded, in bytes of JSON. For larger ones
+/// only the version is forwarded, and each instance reads the configuration itself, since it takes
+/// seconds to send a large one to several instances over a slow link.
+const FORWARDED_BYTES_MAX: usize = 96 * 1_024;
 /// Greatest number of times that [`FETCH_PERIOD_MIN`] is doubled while no newer configuration
 /// arrives.
 const FETCH_DOUBLINGS_MAX: u32 = 4;
@@ -160,6 +171,11 @@
         }
     }
 
+    /// Returns the hash of the configuration in force without its version, or zero if there is none.
+    pub(crate) fn digest(&self) -> u64 {
+        self.digest
+    }
+
     /// Resets the backoff of fetches, after a newer version has come into force.
     pub(crate) fn reset_fetch_backoff(&mut self) {
         self.unanswered_fetches = 0;
@@ -307,9 +323,9 @@
         }
     }
 
-    /// Records which version another instance has in force, and fetches that version if it is
-    /// newer.
-    pub(crate) fn observe_version(&mut self, from: InstanceId, version: Version) {
+    /// Records which version another instance has in force, with the hash of its content or zero,
+    /// and fetches that version if it is newer.
+    pub(crate) fn observe_version(&mut self, from: InstanceId, version: Version, digest: u64) {
         self.config.versions.insert(from, version);
         if self.config.versions.len() > self.members.rumours().count() * 2 + 8 {
             let members = &self.members;
@@ -319,6 +335,10 @@
         if version <= self.config.follower.version() {
             return;
         }
+        if digest != 0 && digest == self.config.digest {
+            self.on_confirm_config(version, digest);
+            return;
+        }
         let behind_since = *self.config.behind_since.get_or_insert(self.now);
         let is_external = self.settings.source == Source::External;
         if is_external && self.now.saturating_sub(behind_since) < EXTERNAL_READ_GRACE {
@@ -358,6 +378,65 @@
         }
     }
 
+    /// Returns whether this instance should read the external configuration now, although another
+    /// one reads it for the data centre: a newer version is known and was not received.
+    pub fn should_read_config(&self) -> bool {
+        let behind_since = self.config.behind_since;
+        behind_since.is_some_and(|since| self.now.saturating_sub(since) >= EXTERNAL_PUSH_GRACE)
+    }
+
+    /// Forwards a new external configuration to the instances of the own data centre that follow
+    /// this one in a tree. Its root is the instance that reads the store. One that reads the store
+    /// in the root's place forwards to the root's followers as well.
+    fn forward_config(&mut self, is_read_here: bool) {
+        let followers = self.config_followers(is_read_here && self.should_read_server_list());
+        if followers.is_empty() {
+            return;
+        }
+        let (version, digest) = (self.config.follower.version(), self.config.digest);
+        let body = match serde_json::to_vec(self.config()) {
+            Ok(json) if json.len() <= FORWARDED_BYTES_MAX => Body::ConfigSnapshot { json },
+            Ok(_) => Body::ConfigVersion { version, digest },
+            Err(error) => {
+                let text = format!("The configuration can't be encoded: {error}.");
+                self.log("config", true, text);
+                return;
+            }
+        };
+        for to in followers {
+            self.send(to, body.clone());
+        }
+    }
+
+    /// Forwards the announcement of a version that was not known, and records it.
+    pub(crate) fn on_config_version(&mut self, from: InstanceId, version: Version, digest: u64) {
+        if version > self.config.follower.newest_known_version() {
+            for to in self.config_followers(false) {
+                self.send(to, Body::ConfigVersion { version, digest });
+            }
+        }
+        self.observe_version(from, version, digest);
+    }
+
+    /// Returns the instances to which this one forwards configurations. The root's followers are
+    /// among them if this instance acts as the root.
+    fn config_followers(&self, is_root: bool) -> Vec<InstanceId> {
+        let own = self.own_data_centre();
+        let live: Vec<InstanceId> = self.members.live(&own).collect();
+        let count = live.len();
+        let order = member::rendezvous::order(READER_KEY, live.into_iter(), count);
+        let own_position = order.iter().position(|id| *id == self.id());
+        let mut followers: Vec<InstanceId> = own_position
+            .into_iter()
+            .chain(is_root.then_some(0))
+            .flat_map(|position| followers_of(&order, position))
+            .filter(|id| *id != self.id())
+            .collect();
+        followers.sort_unstable();
+        followers.dedup();
+        followers
+    }
+
     /// Adopts a later version whose content is the same as the configuration in force. The version
     /// of an external configuration is the revision at which it was read, so instances that read
     /// the same content at different times have different versions of it.
@@ -407,6 +486,9 @@
         let before = self.config.follower.version();
         self.config.follower.install(config);
         self.activate_config(before);
+        if self.settings.source == Source::External && self.config.follower.version() > before {
+            self.forward_config(false);
+        }
     }
 
     /// Installs a whole configuration that the shell passes in.
@@ -414,6 +496,9 @@
         let before = self.config.follower.version();
         self.config.follower.install(config.clone());
         self.activate_config(before);
+        if self.settings.source == Source::External && self.config.follower.version() > before {
+            self.forward_config(true);
+        }
     }
 
     /// Answers an operator's query, or queues a command that changes the configuration.
@@ -818,3 +903,9 @@
     let plus = added.iter().map(|line| format!("+ {line}"));
     minus.chain(plus).collect()
 }
+
+/// Returns the instances that follow the one at a position in the tree over an ordered list.
+fn followers_of(order: &[InstanceId], position: usize) -> impl Iterator<Item = InstanceId> + '_ {
+    let first = position * FORWARD_FANOUT + 1;
+    order.iter().skip(first).take(FORWARD_FANOUT).copied()
+}
--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -18,6 +18,7 @@
     /// Handles a frame of another instance.
     pub(crate) fn on_frame(&mut self, frame: Frame) {
         let age = self.skew.age(frame.from, frame.wall_ms, self.wall);
+        self.list_state.record_frame(self.now);
         let from = frame.from;
         match frame.body {
             Body::Ping { probe, gossip } => {
@@ -90,6 +91,9 @@
             Body::Settled { claim } => self.on_settled(claim),
             Body::FetchConfig { after, digest } => self.on_fetch_config(from, after, digest),
             Body::ConfirmConfig { version, digest } => self.on_confirm_config(version, digest),
+            Body::ConfigVersion { version, digest } => {
+                self.on_config_version(from, version, digest);
+            }
             Body::ConfigChanges { json } => self.on_config_changes(&json),
             Body::ConfigSnapshot { json } => self.on_config_snapshot(&json),
             Body::KeepCopy { attempt, endpoint } => self.on_keep_copy(attempt, endpoint),
@@ -109,7 +113,7 @@
     fn merge_gossip(&mut self, from: InstanceId, gossip: &Gossip) {
         self.merge_strikes(&gossip.strikes);
         self.on_leaving_servers(&gossip.leaving);
-        self.observe_version(from, gossip.config);
+        self.observe_version(from, gossip.config, gossip.config_digest);
     }
 
     fn merge_strikes(&mut self, strikes: &[Strike]) {
@@ -161,6 +165,7 @@
         self.members.set_piggyback(Gossip {
             rumours: Vec::new(),
             config: self.config.follower.version(),
+            config_digest: self.config.digest(),
             strikes,
             leaving,
         });
--- a/crates/core/src/listing.rs
+++ b/crates/core/src/listing.rs
@@ -22,6 +22,11 @@
 use crate::instance::Instance;
 use crate::message::ListedServer;
 
+/// Key by which the instance that reads the store for its data centre is chosen.
+pub(crate) const READER_KEY: &str = "list";
+/// Time without a frame of any instance after which this instance counts as cut off from the others
+/// and reads the list itself.
+const ISOLATION_TIME: Duration = Duration::from_millis(1_200);
 /// Number of instances of a data centre that read the list.
 const READERS: usize = 1;
 /// Time without a frame of the reader after which an instance reads the list itself. A reader reads
@@ -40,6 +45,8 @@
     era: Era,
     /// Revision of the store as of which the list is current.
     revision: Revision,
+    /// When the last frame of any instance arrived.
+    last_frame: Time,
     /// When the list was last read or confirmed by a frame. `None` before the first time.
     last_update: Option<Time>,
     /// When each leaving server was first listed as leaving.
@@ -54,6 +61,11 @@
         self.revision
     }
 
+    /// Records that a frame of another instance has arrived.
+    pub(crate) fn record_frame(&mut self, now: Time) {
+        self.last_frame = now;
+    }
+
     /// Returns when a server was first listed as leaving, or `None` if it is not.
     pub(crate) fn leaving_since(&self, server: &str) -> Option<Time> {
         self.leaving_since.get(server).copied()
@@ -97,6 +109,10 @@
             return true;
         };
         let silence = self.now.saturating_sub(last_update);
+        let is_isolated = self.now.saturating_sub(self.list_state.last_frame) > ISOLATION_TIME;
+        if is_isolated && silence > SILENCE_MAX {
+            return true;
+        }
         // One more instance takes over with each period, so that an outage does not make all
         // instances call the store at once.
         let takeovers =
@@ -106,7 +122,7 @@
             true => READERS.saturating_add(1).saturating_add(extra_readers),
             false => READERS,
         };
-        self.members.is_top_ranked("list", readers)
+        self.members.is_top_ranked(READER_KEY, readers)
     }
 
     /// Returns the servers of the current list.
@@ -149,6 +165,7 @@
             servers: changed,
             removed,
             config_version: self.config.follower.version(),
+            config_digest: self.config.digest(),
         };
         let is_restored = self.record_list_update(list.era, list.revision);
         if is_restored
@@ -217,7 +234,7 @@
 
     /// Applies the changes or the whole list that another instance has sent.
     pub(crate) fn on_server_list(&mut self, from: InstanceId, update: ServerListUpdate) {
-        self.observe_version(from, update.config_version);
+        self.observe_version(from, update.config_version, update.config_digest);
         let known_era = self.list_state.era;
         if (update.era, update.revision) < self.list_state.position() {
             return;
@@ -262,6 +279,7 @@
             servers: self.servers.values().cloned().collect(),
             removed: Vec::new(),
             config_version: self.config.follower.version(),
+            config_digest: self.config.digest(),
         };
         self.send(from, Body::ServerList(full_list));
     }
--- a/crates/core/tests/driver/mod.rs
+++ b/crates/core/tests/driver/mod.rs
@@ -153,6 +153,7 @@
             servers: self.servers.clone(),
             removed: Vec::new(),
             config_version: 0,
+            config_digest: 0,
         };
         self.input(Input::ServerList(list));
     }
--- a/crates/core/tests/listing.rs
+++ b/crates/core/tests/listing.rs
@@ -127,6 +127,7 @@
                         servers: servers.to_vec(),
                         removed: Vec::new(),
                         config_version: 0,
+                        config_digest: 0,
                     };
                     self.input(index, Input::ServerList(list));
                 }
--- a/crates/core/tests/spill.rs
+++ b/crates/core/tests/spill.rs
@@ -102,6 +102,7 @@
             servers: vec![server("near", "east", 81), server("far", "west", 82)],
             removed: Vec::new(),
             config_version: 0,
+            config_digest: 0,
         };
         for index in 0..2 {
             pair.input(index, Input::List(listed.clone()));
--- a/crates/core/tests/versions.rs
+++ b/crates/core/tests/versions.rs
@@ -140,6 +140,8 @@
     let mut pair = Pair::new();
     pair.input(0, Input::AdoptConfig(config(30, "engines")));
     pair.input(1, Input::AdoptConfig(config(20, "engines")));
+    // What the reader forwards when it adopts a configuration does not count.
+    pair.sent.clear();
     pair.announce(31);
     pair.advance(Duration::from_secs(3));
     assert_eq!(pair.count(is_snapshot), 0);
--- a/crates/gateway/src/decider.rs
+++ b/crates/gateway/src/decider.rs
@@ -123,6 +123,9 @@
     pub idle: bool,
     /// Whether this instance should read the list of servers in the store.
     pub should_read_server_list: bool,
+    /// Whether this instance should read the external configuration, although another one reads it
+    /// for the data centre.
+    pub should_read_config: bool,
     /// The era of the store in which the current list of servers was read.
     pub store_era: wire::server_list::Era,
     /// The id of this incarnation of the instance.
@@ -260,12 +263,15 @@
     fn publish_status(&mut self) {
         let (ready, idle) = (self.instance.is_ready(), self.instance.is_idle());
         let should_read_server_list = self.instance.should_read_server_list();
+        let should_read_config = self.instance.should_read_config();
         let store_era = self.instance.store_era();
         self.wiring.status.send_if_modified(|status| {
             let changed = status.ready != ready
                 || status.idle != idle
                 || status.should_read_server_list != should_read_server_list
+                || status.should_read_config != should_read_config
                 || status.store_era != store_era;
+            status.should_read_config = should_read_config;
             status.store_era = store_era;
             status.should_read_server_list = should_read_server_list;
             status.ready = ready;
--- a/crates/gateway/src/runtime.rs
+++ b/crates/gateway/src/runtime.rs
@@ -132,6 +132,7 @@
             ready: false,
             idle: true,
             should_read_server_list: false,
+            should_read_config: false,
             store_era: 0,
             id,
         });
--- a/crates/watch/src/lib.rs
+++ b/crates/watch/src/lib.rs
@@ -277,8 +277,8 @@
         self.revision
     }
 
-    /// Returns the revision of the last change of an item, or that of the list that revealed the
-    /// change.
+    /// Returns the revision of the last change of an item, or that of the list that revealed a
+    /// removal.
     pub fn changed_at(&self) -> Revision {
         self.changed_at
     }
@@ -306,8 +306,8 @@
     }
 
     /// Records the era of an answer of the store. With a newer era than before, the range is listed
-    /// again after `delay`, and a call in flight is not waited for. Returns whether it is newer.
-    pub fn observe_era(&mut self, now: Time, era: Era, delay: Duration) -> bool {
+    /// again, and a call in flight is not waited for. Returns whether it is newer.
+    pub fn observe_era(&mut self, now: Time, era: Era) -> bool {
         if era <= self.era {
             return false;
         }
@@ -322,7 +322,7 @@
         self.revision = 0;
         self.changed_at = 0;
         self.restore_grace_until = now + self.limits.restore_grace;
-        self.next_call = now + delay;
+        self.next_call = now;
         self.restart();
         true
     }
@@ -455,6 +455,13 @@
             .filter(|key| !listed.contains_key(*key))
             .cloned()
             .collect();
+        // The revision of a removal is not listed. Without one, the newest item is the last change,
+        // which is the same for all watchers.
+        let newest = listed.values().map(|item| item.revision).max();
+        let changed_at = match (missing.is_empty(), newest) {
+            (true, Some(newest)) => newest,
+            _ => at,
+        };
         for key in missing {
             let until = self.grace_until.max(self.restore_grace_until);
             update.changed |= self.remove_or_keep(now, key, until);
@@ -464,7 +471,7 @@
         }
         update.changed |= self.revision == 0;
         if update.changed {
-            self.changed_at = at;
+            self.changed_at = self.changed_at.max(changed_at);
         }
         self.revision = at;
         update.confirmed = true;
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -23,6 +23,8 @@
     pub rumours: Vec<Rumour>,
     /// Version of the configuration in force at the sender.
     pub config: Version,
+    /// Hash of that configuration's content, or zero if it is not known.
+    pub config_digest: u64,
     /// Requests that were running on a backend server when it crashed.
     pub strikes: Vec<Strike>,
     /// Backend servers known to shut down soon.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -205,6 +205,13 @@
         /// The changes as a JSON array, oldest first.
         json: Vec<u8>,
     },
+    /// Announces a new configuration that is too large to be sent unasked.
+    ConfigVersion {
+        /// The version.
+        version: Version,
+        /// Hash of its content.
+        digest: u64,
+    },
     /// Sends the whole configuration.
     ConfigSnapshot {
         /// The configuration as JSON.
--- a/crates/wire/src/server_list.rs
+++ b/crates/wire/src/server_list.rs
@@ -36,6 +36,8 @@
     /// Version of the configuration in force at the sender. Instances that do not read the store
     /// learn of a newer version from this field as soon as they learn of a server.
     pub config_version: Version,
+    /// Hash of that configuration's content, or zero if it is not known.
+    pub config_digest: u64,
 }
 
 /// A backend server as the platform lists it.
