--- a/crates/core/src/listing.rs
+++ b/crates/core/src/listing.rs
@@ -109,8 +109,7 @@
             return true;
         };
         let silence = self.now.saturating_sub(last_update);
-        let is_isolated = self.now.saturating_sub(self.list_state.last_frame) > ISOLATION_TIME;
-        if is_isolated && silence > SILENCE_MAX {
+        if self.is_isolated() && silence > SILENCE_MAX {
             return true;
         }
         // One more instance takes over with each period, so that an outage does not make all
@@ -125,6 +124,12 @@
         self.members.is_top_ranked(READER_KEY, readers)
     }
 
+    /// Returns whether no other instance has been heard of for [`ISOLATION_TIME`]. What this instance
+    /// reads in the store then serves itself alone.
+    pub fn is_isolated(&self) -> bool {
+        self.now.saturating_sub(self.list_state.last_frame) > ISOLATION_TIME
+    }
+
     /// Returns the servers of the current list.
     pub fn servers(&self) -> impl Iterator<Item = &ListedServer> {
         self.servers.values()
--- a/crates/gateway/src/decider.rs
+++ b/crates/gateway/src/decider.rs
@@ -123,6 +123,8 @@
     pub idle: bool,
     /// Whether this instance should read the list of servers in the store.
     pub should_read_server_list: bool,
+    /// Whether no other instance has been heard of for a while.
+    pub is_isolated: bool,
     /// Whether this instance should read the external configuration, although another one reads it
     /// for the data centre.
     pub should_read_config: bool,
@@ -264,13 +266,16 @@
         let (ready, idle) = (self.instance.is_ready(), self.instance.is_idle());
         let should_read_server_list = self.instance.should_read_server_list();
         let should_read_config = self.instance.should_read_config();
+        let is_isolated = self.instance.is_isolated();
         let store_era = self.instance.store_era();
         self.wiring.status.send_if_modified(|status| {
             let changed = status.ready != ready
                 || status.idle != idle
                 || status.should_read_server_list != should_read_server_list
                 || status.should_read_config != should_read_config
+                || status.is_isolated != is_isolated
                 || status.store_era != store_era;
+            status.is_isolated = is_isolated;
             status.should_read_config = should_read_config;
             status.store_era = store_era;
             status.should_read_server_list = should_read_server_list;
--- a/crates/gateway/src/runtime.rs
+++ b/crates/gateway/src/runtime.rs
@@ -133,6 +133,7 @@
             idle: true,
             should_read_server_list: false,
             should_read_config: false,
+            is_isolated: false,
             store_era: 0,
             id,
         });
--- a/crates/watch/src/lib.rs
+++ b/crates/watch/src/lib.rs
@@ -215,6 +215,8 @@
     failures: u32,
     failing_since: Option<Time>,
     unavailable: bool,
+    /// The keys whose removal was reported since the last call of [`Watcher::take_removed`].
+    removed: Vec<Key>,
     /// The missing items that are kept, with the time of their removal.
     expired: BTreeMap<Key, Time>,
     grace_until: Time,
@@ -260,6 +262,7 @@
             failures: 0,
             failing_since: None,
             unavailable: false,
+            removed: Vec::new(),
             expired: BTreeMap::new(),
             grace_until: Time::ZERO,
             restore_grace_until: Time::ZERO,
@@ -272,6 +275,11 @@
         self.items.values()
     }
 
+    /// Returns the keys whose removal was reported since the last call, whether or not they were known.
+    pub fn take_removed(&mut self) -> Vec<Key> {
+        std::mem::take(&mut self.removed)
+    }
+
     /// Returns the revision at which the items are current. Zero before the first list is complete.
     pub fn revision(&self) -> Revision {
         self.revision
@@ -486,6 +494,7 @@
                     (self.upsert(item), revision)
                 }
                 Event::Removed { key, revision } => {
+                    self.removed.push(key.clone());
                     let known = self.items.get(&key).map(|item| item.revision);
                     let newer = known.is_some_and(|known| known < revision);
                     let until = self.grace_until;
