Keep placing costs flat, and let generations resume at servers that only reports call leaving

The coordinator of a pool is kept until the view changes, and the numbers of servers that may take work for 50 ms or until the list, the configuration or an announcement changes; both were computed from all instances and all servers for every reservation. Dispatch checks its server anew as before.

--- a/crates/core/src/coordinator.rs
+++ b/crates/core/src/coordinator.rs
@@ -78,8 +78,8 @@
 #[derive(Clone, Copy, Debug)]
 struct LeaveAnnouncement {
     boot: BootId,
-    /// When the boot first announced that it leaves.
-    first_at: Time,
+    /// When the boot first stated in a response to this instance that it leaves.
+    stated_at: Option<Time>,
     /// When the announcement was last repeated.
     announced_at: Time,
     /// Whether the boot is known to leave. Otherwise its record may only be outdated.
@@ -146,10 +146,19 @@
             .is_some_and(|announcement| announcement.boot == boot || boot == 0)
     }
 
-    /// Returns when a given boot of a server first announced that it leaves, if it has.
-    pub(crate) fn leaving_since(&self, server: &str, boot: BootId) -> Option<Time> {
+    /// Returns when a given boot of a server first stated in a response to this instance that it
+    /// leaves, if it has.
+    pub(crate) fn stated_leaving_at(&self, server: &str, boot: BootId) -> Option<Time> {
         let announcement = self.leaving.get(server)?;
-        (announcement.boot == boot || boot == 0).then_some(announcement.first_at)
+        let is_boot = announcement.boot == boot || boot == 0;
+        announcement.stated_at.filter(|_| is_boot)
+    }
+
+    /// Records that a boot which is known to leave stated so in a response.
+    pub(crate) fn record_stated_leaving(&mut self, server: &str, now: Time) {
+        if let Some(announcement) = self.leaving.get_mut(server) {
+            announcement.stated_at.get_or_insert(now);
+        }
     }
 
     /// Returns the newest announcements of leaving servers, for gossip.
@@ -270,6 +279,7 @@
             .record_removed(self.now, &self.servers, &servers);
         self.list_state.record_leaving(self.now, &servers);
         self.servers = servers;
+        self.list_changes += 1;
         self.has_server_list = true;
         self.record_listed_leaving();
         self.refresh_coordinators();
@@ -302,7 +312,7 @@
         let earlier = known.filter(|known| known.boot == boot);
         let announcement = LeaveAnnouncement {
             boot,
-            first_at: earlier.map_or(announced_at, |known| known.first_at.min(announced_at)),
+            stated_at: earlier.and_then(|known| known.stated_at),
             announced_at,
             is_final: true,
         };
@@ -311,6 +321,7 @@
                 .leaving
                 .insert(server.clone(), announcement);
         }
+        self.list_changes += 1;
         for scheduler in self.coordinator.schedulers.values_mut() {
             scheduler.record_leaving(server, boot);
         }
@@ -320,7 +331,7 @@
     pub(crate) fn record_stale_record(&mut self, server: &Name, boot: BootId) {
         let announcement = LeaveAnnouncement {
             boot,
-            first_at: self.now,
+            stated_at: None,
             announced_at: self.now,
             is_final: false,
         };
--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -34,6 +34,7 @@
 use crate::message::ListedServer;
 use crate::message::Output;
 use crate::notices::Backoffs;
+use crate::placement::ServerCounts;
 use crate::settings::Settings;
 
 /// An invariant that was broken. Where a broken invariant does not panic, it is counted.
@@ -88,6 +89,10 @@
     /// Whether a list of backend servers has been received.
     pub(crate) has_server_list: bool,
     pub(crate) list_state: ListState,
+    /// Number of changes of the server list and the configuration so far.
+    pub(crate) list_changes: u64,
+    /// The last counts of servers, by pool.
+    pub(crate) server_counts: BTreeMap<Name, ServerCounts>,
     pub(crate) health: Health,
     pub(crate) backoffs: Backoffs,
     pub(crate) jobs: BTreeMap<RequestId, Job>,
@@ -135,6 +140,8 @@
             servers: BTreeMap::new(),
             has_server_list: false,
             list_state: ListState::default(),
+            list_changes: 0,
+            server_counts: BTreeMap::new(),
             health: Health::default(),
             backoffs: Backoffs::default(),
             jobs: BTreeMap::new(),
@@ -321,6 +328,8 @@
             return;
         }
         self.config.reset_fetch_backoff();
+        self.list_changes += 1;
+        self.server_counts.clear();
         self.update_digest();
         let config = Arc::new(self.config().clone());
         let withdrawn: Vec<&str> = config
--- a/crates/core/src/lifecycle.rs
+++ b/crates/core/src/lifecycle.rs
@@ -328,8 +328,8 @@
         let config = self.config();
         let drained = config.drained.contains(server);
         let boot = self.servers.get(server).map(|listed| listed.boot);
-        let announced = boot.and_then(|boot| self.coordinator.leaving_since(server, boot));
-        let in_window = [self.list_state.leaving_since(server), announced]
+        let stated = boot.and_then(|boot| self.coordinator.stated_leaving_at(server, boot));
+        let in_window = [self.list_state.leaving_since(server), stated]
             .into_iter()
             .flatten()
             .all(|at| self.now.saturating_sub(at) < LEAVING_RESUME_WINDOW);
--- a/crates/core/src/notices.rs
+++ b/crates/core/src/notices.rs
@@ -82,13 +82,17 @@
 impl Instance {
     /// Handles what a given boot of a server stated in the headers of a response.
     pub(crate) fn on_server_notice(&mut self, server: &Name, boot: BootId, notice: &ServerNotice) {
-        if notice.leaving && !self.coordinator.is_leaving_boot(server, boot) {
+        let is_known = self.coordinator.is_leaving_boot(server, boot);
+        if notice.leaving && !is_known {
             let text =
                 format!("Server {server} (boot {boot}) states in a response that it leaves.");
             self.log("list", false, text);
             self.record_leaving(server, boot, self.now);
             self.report_leaving(server, boot);
         }
+        if notice.leaving {
+            self.coordinator.record_stated_leaving(server, self.now);
+        }
         if let Some(retry_after) = notice.retry_after {
             let text = format!(
                 "Server {server} (boot {boot}) wants no requests of this instance for {} ms.",
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -43,6 +43,8 @@
 /// Age up to which a grant may be used. The coordinator holds the granted place longer than this,
 /// by more than the time that a frame takes.
 const GRANT_AGE_MAX: Duration = Duration::from_millis(700);
+/// Longest time for which the numbers of servers that may take work are kept.
+const COUNT_LIFETIME: Duration = Duration::from_millis(50);
 /// Retry-after of a request of a pool without a server in service.
 const NO_SERVER_RETRY_AFTER: Duration = Duration::from_millis(1_000);
 /// Time that a coordinator has to answer a reservation for resuming from a copy. The caller sees
@@ -60,6 +62,15 @@
     pub(crate) silent_until: Time,
 }
 
+/// How many servers of a pool may take work in each data centre.
+#[derive(Debug)]
+pub(crate) struct ServerCounts {
+    counted_at: Time,
+    /// Number of changes of the server list or the configuration before the count.
+    list_changes: u64,
+    by_data_centre: BTreeMap<Name, usize>,
+}
+
 /// Identifies one of a job's two reservations.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum ReservationKind {
@@ -310,19 +321,18 @@
     }
 
     /// Returns the data centres that have servers of a pool, with what is known of each.
-    pub(crate) fn candidates(&self, pool: &str) -> BTreeMap<Name, Candidate> {
-        let mut candidates: BTreeMap<Name, Candidate> = BTreeMap::new();
-        let config = self.config();
-        let Some(found) = config.pools.get(pool) else {
-            return candidates;
-        };
-        let label = found.label(pool);
-        for server in self.servers.values().filter(|server| server.label == label) {
-            let candidate = candidates.entry(server.data_centre.clone()).or_default();
-            if self.may_take_work(&server.data_centre, &server.name) {
-                candidate.servers += 1;
-            }
-        }
+    pub(crate) fn candidates(&mut self, pool: &str) -> BTreeMap<Name, Candidate> {
+        let mut candidates: BTreeMap<Name, Candidate> = self
+            .server_counts(pool)
+            .into_iter()
+            .map(|(data_centre, servers)| {
+                let candidate = Candidate {
+                    servers,
+                    ..Candidate::default()
+                };
+                (data_centre, candidate)
+            })
+            .collect();
         for (name, candidate) in &mut candidates {
             let status = self.coordinator.status(name, pool);
             let alive = self.members.coordinator(name, pool).is_some();
@@ -332,6 +342,41 @@
         candidates
     }
 
+    /// Returns how many servers of a pool may take work in each data centre that has any. The counts
+    /// may be [`COUNT_LIFETIME`] old, so that a placement's cost does not grow with the list; every
+    /// dispatch checks its server anew.
+    fn server_counts(&mut self, pool: &str) -> BTreeMap<Name, usize> {
+        let is_valid = |counts: &ServerCounts| {
+            counts.list_changes == self.list_changes
+                && self.now.saturating_sub(counts.counted_at) < COUNT_LIFETIME
+        };
+        if let Some(counts) = self
+            .server_counts
+            .get(pool)
+            .filter(|counts| is_valid(counts))
+        {
+            return counts.by_data_centre.clone();
+        }
+        let Some(found) = self.config().pools.get(pool) else {
+            return BTreeMap::new();
+        };
+        let label = found.label(pool);
+        let mut by_data_centre: BTreeMap<Name, usize> = BTreeMap::new();
+        for server in self.servers.values().filter(|server| server.label == label) {
+            let count = by_data_centre
+                .entry(server.data_centre.clone())
+                .or_default();
+            *count += usize::from(self.may_take_work(&server.data_centre, &server.name));
+        }
+        let counts = ServerCounts {
+            counted_at: self.now,
+            list_changes: self.list_changes,
+            by_data_centre: by_data_centre.clone(),
+        };
+        self.server_counts.insert(pool.into(), counts);
+        by_data_centre
+    }
+
     fn send_reservation(
         &mut self,
         id: RequestId,
--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -133,7 +133,24 @@
         "no-server" => {
             "No server of the pool accepted work: all were leaving, withdrawn or unreachable."
         }
-        "limited" => "The organisation had reached its limit of running requests.",
+        "organisation-limit" => "The organisation had reached its limit of running requests.",
+        "no-route" => {
+            "No route of the configuration in force matched, or the organisation may not use it."
+        }
+        "ledger-unavailable" => {
+            "The idempotency key could not be claimed in the platform's store, so nothing was run."
+        }
+        "key-in-use" => "Another request with the same idempotency key was still running.",
+        "key-unknown" => {
+            "An earlier request with the same idempotency key may have run; its outcome is not known."
+        }
+        "retries-spent" => {
+            "The first attempt failed, and the pool's budget for retries was used up or no server \
+             took the next attempt in time."
+        }
+        "diverged" => {
+            "The output of a new attempt differed from what the caller had already received."
+        }
         "leaving" => "The instance was about to stop and would have cut the answer off.",
         "lost" => {
             "The server that ran the request was lost. The request must not be run again, and no \
--- a/crates/ctl/src/explain/tests.rs
+++ b/crates/ctl/src/explain/tests.rs
@@ -46,3 +46,33 @@
         "{text}"
     );
 }
+
+#[test]
+fn each_reason_has_a_sentence() {
+    let reasons = [
+        "complete",
+        "recorded",
+        "no-route",
+        "overloaded",
+        "organisation-limit",
+        "no-server",
+        "ledger-unavailable",
+        "key-in-use",
+        "key-unknown",
+        "lost",
+        "retries-spent",
+        "barred",
+        "diverged",
+        "cancelled",
+        "server-error",
+        "timed-out",
+        "leaving",
+    ];
+    for reason in reasons {
+        let log = format!(
+            r#"{{"timestamp":"2026-04-22T18:00:28+00:00","message":"relay: Ended.","kvs":{{"id":"x","outcome":"o","reason":"{reason}"}}}}"#
+        );
+        let text = explain("x", &log).expect("the log has a line of the request");
+        assert!(!text.contains("docs/OPERATIONS.md"), "{text}");
+    }
+}
--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -1,5 +1,6 @@
 //! The SWIM state machine.
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -90,6 +91,15 @@
     ticks: u64,
     last_tick: Option<Time>,
     changes: u64,
+    coordinators: RefCell<Coordinators>,
+}
+
+/// The coordinators that were computed since the view last changed, by data centre and key.
+#[derive(Debug, Default)]
+struct Coordinators {
+    /// The change count of the view for which they hold.
+    changes: u64,
+    found: BTreeMap<(Name, Name), Option<InstanceId>>,
 }
 
 /// Another instance in this view, and the time at which its state last changed or its timeout
@@ -133,6 +143,7 @@
             ticks: 0,
             last_tick: None,
             changes: 0,
+            coordinators: RefCell::default(),
         }
     }
 
@@ -165,6 +176,7 @@
     pub fn announce_stop(&mut self) -> Vec<OutgoingFrame> {
         self.own.state = State::Dead;
         self.own.version += 1;
+        self.changes += 1;
         let targets: Vec<InstanceId> = self.running_others().collect();
         let mut sends = Vec::new();
         for target in targets.into_iter().take(RUMOURS_MAX) {
@@ -211,7 +223,16 @@
     /// Returns the instance of a data centre that coordinates a key, or `None` if no instance there
     /// is live.
     pub fn coordinator(&self, data_centre: &str, key: &str) -> Option<InstanceId> {
-        rendezvous::first(key, self.live(data_centre))
+        let mut coordinators = self.coordinators.borrow_mut();
+        if coordinators.changes != self.changes {
+            coordinators.changes = self.changes;
+            coordinators.found.clear();
+        }
+        let place = (Name::from(data_centre), Name::from(key));
+        *coordinators
+            .found
+            .entry(place)
+            .or_insert_with(|| rendezvous::first(key, self.live(data_centre)))
     }
 
     /// Returns the instance that coordinates a key for all data centres, or `None` if no instance
