--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -263,10 +263,12 @@
         self.store_calls.inc();
     }
 
-    /// Sets the version of the configuration in force.
+    /// Sets the version of the configuration in force. Of a version with more bits than the gauge, the
+    /// low ones are shown, which still tell instances with different versions apart.
     pub fn set_config_version(&self, version: conf::Version) {
+        const SHOWN_BITS: conf::Version = i64::MAX as conf::Version;
         self.config_version
-            .set(i64::try_from(version).unwrap_or(i64::MAX));
+            .set(i64::try_from(version & SHOWN_BITS).unwrap_or(i64::MAX));
     }
 
     /// Sets the number of violations of an invariant. The counter never decreases.
