Use the occupancies of a large pool for several grants

A coordinator sums all assignments of its pool for each reservation. Names of listings are looked up in a set. A test of the cost by time was tried and dropped: it passed without the change, too, and its verdict would depend on the machine.

--- a/crates/admit/src/scheduler.rs
+++ b/crates/admit/src/scheduler.rs
@@ -28,6 +28,7 @@
 
 use self::assignments::Assignment;
 use self::assignments::CANCELLED_RETENTION;
+use self::occupancy::KeptOccupancies;
 use self::occupancy::Occupancies;
 use self::replicas::REPLICA_MEMORY_SHARE_MAX;
 use self::selection::GRANT_SPACING;
@@ -115,6 +116,8 @@
     next_replica_check: Time,
     /// Servers that refused a replica, with the time until which they get none.
     replica_refused_until: BTreeMap<Name, Time>,
+    /// The occupancies of the last grants, in a large pool.
+    kept_occupancies: Option<KeptOccupancies>,
     rng: fastrand::Rng,
 }
 
@@ -139,6 +142,7 @@
             denied: BTreeSet::new(),
             next_replica_check: Time::ZERO,
             replica_refused_until: BTreeMap::new(),
+            kept_occupancies: None,
             rng: fastrand::Rng::with_seed(seed),
         }
     }
@@ -147,6 +151,7 @@
     /// that are no longer listed are removed.
     pub fn configure(&mut self, now: Time, pool: &Pool, listings: &[Listing]) {
         self.pool = pool.clone();
+        self.kept_occupancies = None;
         for listing in listings {
             let server = self
                 .servers
@@ -154,7 +159,8 @@
                 .or_insert_with(|| Server::new(now, listing.clone(), pool));
             server.update_listing(now, listing, pool);
         }
-        let is_listed = |name: &Name| listings.iter().any(|listing| listing.name == *name);
+        let listed: BTreeSet<&Name> = listings.iter().map(|listing| &listing.name).collect();
+        let is_listed = |name: &Name| listed.contains(name);
         let unlisted: Vec<Name> = self
             .servers
             .keys()
@@ -248,10 +254,13 @@
             return answer(decision);
         }
         let may_skip_queue = self.queue.is_empty() || max_wait.is_zero();
-        if may_skip_queue
-            && let Some(grant) = self.try_grant(now, &waiting, &mut self.occupancies(now))
-        {
-            return answer(Decision::Grant(grant));
+        if may_skip_queue {
+            let mut occupancies = self.take_occupancies(now);
+            let grant = self.try_grant(now, &waiting, &mut occupancies.by_server);
+            self.keep_occupancies(occupancies);
+            if let Some(grant) = grant {
+                return answer(Decision::Grant(grant));
+            }
         }
         if max_wait.is_zero() {
             return answer(self.deny(attempt, self.denial_reason(now, &organisation), expected));
@@ -424,12 +433,12 @@
         if self.queue.is_empty() || !self.has_grantable_server(now) {
             return replies;
         }
-        let mut occupancies = self.occupancies(now);
+        let mut occupancies = self.take_occupancies(now);
         while !self.queue.is_empty() {
             let mut queue = std::mem::take(&mut self.queue);
             let mut grant = None;
             let served = queue.take_first(|waiting| {
-                grant = self.try_grant(now, waiting, &mut occupancies);
+                grant = self.try_grant(now, waiting, &mut occupancies.by_server);
                 grant.is_some()
             });
             self.queue = queue;
@@ -443,6 +452,7 @@
                 decision: Decision::Grant(grant),
             });
         }
+        self.keep_occupancies(occupancies);
         replies
     }
 
@@ -485,7 +495,10 @@
         if server.listing.drained {
             return None;
         }
-        Some(self.assign(now, name, waiting, &mut self.occupancies(now)))
+        let mut occupancies = self.take_occupancies(now);
+        let grant = self.assign(now, name, waiting, &mut occupancies.by_server);
+        self.keep_occupancies(occupancies);
+        Some(grant)
     }
 
     /// Assigns an attempt to a server and returns the grant. The grant also names a replica server
--- a/crates/admit/src/scheduler/occupancy.rs
+++ b/crates/admit/src/scheduler/occupancy.rs
@@ -19,6 +19,10 @@
 /// Generated tokens after which a suspect request no longer keeps other suspects off its server. A
 /// request that crashes servers has mostly done so by then.
 const PROBATION_TOKENS: u32 = 32;
+/// Number of assignments up to which occupancies are computed for each grant.
+const EXACT_ASSIGNMENTS_MAX: usize = 1_000;
+/// Time for which the occupancies of a larger pool are used for further grants.
+const KEPT_LIFETIME: Duration = Duration::from_millis(20);
 /// Time after which a prompt counts as processed even if no generated token has been reported.
 const PREFILL_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -60,7 +64,34 @@
     }
 }
 
+/// Occupancies that are used for several grants.
+#[derive(Debug)]
+pub(super) struct KeptOccupancies {
+    computed_at: Time,
+    pub(super) by_server: Occupancies,
+}
+
 impl Scheduler {
+    /// Returns the occupancy of each server for granting. In a pool with more than
+    /// [`EXACT_ASSIGNMENTS_MAX`] assignments, they are computed at most once in
+    /// [`KEPT_LIFETIME`]; grants made meanwhile are included, ended attempts still count.
+    pub(super) fn take_occupancies(&mut self, now: Time) -> KeptOccupancies {
+        let is_valid = |kept: &KeptOccupancies| {
+            self.assignments.len() > EXACT_ASSIGNMENTS_MAX
+                && now.saturating_sub(kept.computed_at) < KEPT_LIFETIME
+        };
+        let kept = self.kept_occupancies.take().filter(is_valid);
+        kept.unwrap_or_else(|| KeptOccupancies {
+            computed_at: now,
+            by_server: self.occupancies(now),
+        })
+    }
+
+    /// Keeps occupancies for the next grants.
+    pub(super) fn keep_occupancies(&mut self, occupancies: KeptOccupancies) {
+        self.kept_occupancies = Some(occupancies);
+    }
+
     /// Returns the occupancy of each server.
     pub(super) fn occupancies(&self, now: Time) -> Occupancies {
         let mut occupancies: Occupancies = self
--- a/crates/admit/tests/placing.rs
+++ b/crates/admit/tests/placing.rs
@@ -364,3 +364,74 @@
             .all(|(_, _, destination)| destination.server != refusing)
     );
 }
+
+/// A pool of 300 servers in which four attempts run on each, and the time after their grants.
+fn large_busy_scheduler() -> (Scheduler, Duration) {
+    let (mut scheduler, _) = scheduler(300, Duration::ZERO);
+    let mut now = START;
+    for round in 0..4 {
+        now += Duration::from_millis(400);
+        record_loads(&mut scheduler, now);
+        for index in 0..300 {
+            let attempt = round * 300 + index + 1;
+            let replies = scheduler.reserve(now, HOLDER, reservation(attempt, 100, 50), QUOTA);
+            assert_eq!(grants(&replies).len(), 1, "attempt {attempt}");
+        }
+    }
+    now += Duration::from_millis(400);
+    record_loads(&mut scheduler, now);
+    (scheduler, now)
+}
+
+fn record_loads(scheduler: &mut Scheduler, now: Duration) {
+    for index in 0..300 {
+        let load = Load {
+            boot: 1,
+            capacity_tokens: MEMORY_TOKENS,
+            ..Load::default()
+        };
+        scheduler.record_load(now, &format!("e{index}"), load);
+    }
+}
+
+#[test]
+fn grants_of_a_large_pool_in_one_instant_are_spread_over_its_servers() {
+    let (mut scheduler, now) = large_busy_scheduler();
+    let mut granted: BTreeMap<String, usize> = BTreeMap::new();
+    for attempt in 2_000..2_300 {
+        let replies = scheduler.reserve(now, HOLDER, reservation(attempt, 100, 50), QUOTA);
+        for grant in grants(&replies) {
+            *granted.entry(grant.server.to_string()).or_default() += 1;
+        }
+    }
+    assert_eq!(granted.len(), 300, "each server gets one");
+}
+
+#[test]
+fn places_that_become_free_in_a_large_pool_are_granted_soon() {
+    let (mut scheduler, now) = large_busy_scheduler();
+    let at_once = |attempt| Reservation {
+        wait_ms: 0,
+        ..reservation(attempt, 30_000, 2_000)
+    };
+    // Each attempt takes a whole memory.
+    let mut attempt = 10_000;
+    while !grants(&scheduler.reserve(now, HOLDER, at_once(attempt), QUOTA)).is_empty() {
+        attempt += 1;
+    }
+    let ended = Report {
+        pool: "p".into(),
+        seq: 1,
+        full: false,
+        items: vec![Item::Ended {
+            attempt: 10_000,
+            end: wire::admission::End::Complete,
+            generated: 50,
+            first_token_ms: 100,
+        }],
+    };
+    scheduler.apply_report(now, HOLDER, &ended);
+    let later = now + Duration::from_millis(400);
+    let replies = scheduler.reserve(later, HOLDER, at_once(attempt + 1), QUOTA);
+    assert_eq!(grants(&replies).len(), 1);
+}
