--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -34,12 +34,14 @@
 //! - [`change`]: operations, and the function that applies them.
 //! - [`head`]: the head record in the platform's store.
 //! - [`follower`]: replication of the configuration to an instance.
+//! - [`withdrawals`]: withdrawals of data centres that outlive a restore of the store.
 
 pub mod change;
 pub mod check;
 pub mod follower;
 pub mod head;
 pub mod schema;
+pub mod withdrawals;
 
 pub use crate::check::Finding;
 pub use crate::schema::Class;
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -28,7 +28,6 @@
 
 use crate::instance::CallOrigin;
 use crate::instance::Instance;
-use crate::listing::READER_KEY;
 use crate::message::CommandLine;
 use crate::message::CommandReply;
 use crate::settings::Source;
@@ -45,19 +44,9 @@
 const CALL_QUEUE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Least time between two requests to other instances for a newer configuration.
 const FETCH_PERIOD_MIN: Duration = Duration::from_millis(150);
-/// Time in which a newer external configuration arrives from the instances that have read it. An
-/// instance that has not received it by then reads it itself.
-const EXTERNAL_PUSH_GRACE: Duration = Duration::from_millis(400);
 /// Time after which an instance that can't read a newer external configuration itself fetches it
 /// from another instance.
 const EXTERNAL_READ_GRACE: Duration = Duration::from_millis(700);
-/// Number of instances to which each instance of a data centre forwards a new external
-/// configuration.
-const FORWARD_FANOUT: usize = 4;
-/// Maximum size of an external configuration that is forwarded, in bytes of JSON. For larger ones
-/// only the version is forwarded, and each instance reads the configuration itself, since it takes
-/// seconds to send a large one to several instances over a slow link.
-const FORWARDED_BYTES_MAX: usize = 96 * 1_024;
 /// Greatest number of times that [`FETCH_PERIOD_MIN`] is doubled while no newer configuration
 /// arrives.
 const FETCH_DOUBLINGS_MAX: u32 = 4;
@@ -124,7 +113,7 @@
     /// Fetches since a newer version last came into force.
     unanswered_fetches: u32,
     /// When this instance learnt that a newer version than its own is in force elsewhere.
-    behind_since: Option<Time>,
+    pub(crate) behind_since: Option<Time>,
     /// Hash of the configuration in force without its version. Zero if there is none.
     digest: u64,
     /// Commands that are not accepted yet, processed one after another in order of arrival.
@@ -378,65 +367,6 @@
         }
     }
 
-    /// Returns whether this instance should read the external configuration now, although another
-    /// one reads it for the data centre: a newer version is known and was not received.
-    pub fn should_read_config(&self) -> bool {
-        let behind_since = self.config.behind_since;
-        behind_since.is_some_and(|since| self.now.saturating_sub(since) >= EXTERNAL_PUSH_GRACE)
-    }
-
-    /// Forwards a new external configuration to the instances of the own data centre that follow
-    /// this one in a tree. Its root is the instance that reads the store. One that reads the store
-    /// in the root's place forwards to the root's followers as well.
-    fn forward_config(&mut self, is_read_here: bool) {
-        let followers = self.config_followers(is_read_here && self.should_read_server_list());
-        if followers.is_empty() {
-            return;
-        }
-        let (version, digest) = (self.config.follower.version(), self.config.digest);
-        let body = match serde_json::to_vec(self.config()) {
-            Ok(json) if json.len() <= FORWARDED_BYTES_MAX => Body::ConfigSnapshot { json },
-            Ok(_) => Body::ConfigVersion { version, digest },
-            Err(error) => {
-                let text = format!("The configuration can't be encoded: {error}.");
-                self.log("config", true, text);
-                return;
-            }
-        };
-        for to in followers {
-            self.send(to, body.clone());
-        }
-    }
-
-    /// Forwards the announcement of a version that was not known, and records it.
-    pub(crate) fn on_config_version(&mut self, from: InstanceId, version: Version, digest: u64) {
-        if version > self.config.follower.newest_known_version() {
-            for to in self.config_followers(false) {
-                self.send(to, Body::ConfigVersion { version, digest });
-            }
-        }
-        self.observe_version(from, version, digest);
-    }
-
-    /// Returns the instances to which this one forwards configurations. The root's followers are
-    /// among them if this instance acts as the root.
-    fn config_followers(&self, is_root: bool) -> Vec<InstanceId> {
-        let own = self.own_data_centre();
-        let live: Vec<InstanceId> = self.members.live(&own).collect();
-        let count = live.len();
-        let order = member::rendezvous::order(READER_KEY, live.into_iter(), count);
-        let own_position = order.iter().position(|id| *id == self.id());
-        let mut followers: Vec<InstanceId> = own_position
-            .into_iter()
-            .chain(is_root.then_some(0))
-            .flat_map(|position| followers_of(&order, position))
-            .filter(|id| *id != self.id())
-            .collect();
-        followers.sort_unstable();
-        followers.dedup();
-        followers
-    }
-
     /// Adopts a later version whose content is the same as the configuration in force. The version
     /// of an external configuration is the revision at which it was read, so instances that read
     /// the same content at different times have different versions of it.
@@ -903,9 +833,3 @@
     let plus = added.iter().map(|line| format!("+ {line}"));
     minus.chain(plus).collect()
 }
-
-/// Returns the instances that follow the one at a position in the tree over an ordered list.
-fn followers_of(order: &[InstanceId], position: usize) -> impl Iterator<Item = InstanceId> + '_ {
-    let first = position * FORWARD_FANOUT + 1;
-    order.iter().skip(first).take(FORWARD_FANOUT).copied()
-}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -39,13 +39,15 @@
 //! - `lifecycle`: a request's arrival, dispatch, retries and end.
 //! - `placement`: reserving a place on a server, in this data centre or another one.
 //! - `baseline`: simpler placement policies for comparison, and the fallback share of a server.
-//! - `coordinator`: coordinating pools, and reporting running attempts to other coordinators.
+//! - `coordinator`: coordinating pools.
+//! - `reports`: reports of running attempts to the coordinators of their pools.
 //! - `claims`: claiming and settling idempotency keys.
 //! - `copies`: copies of running generations' KV memory, and resuming from them.
 //! - `local`: choosing a server without a coordinator, for lightly loaded plain services.
 //! - `listing`: the list of backend servers and its distribution within a data centre.
 //! - `notices`: what backend servers state about themselves in their responses.
 //! - `config`: following the configuration and accepting changes to it.
+//! - `forwarding`: forwarding of an external configuration within a data centre.
 //! - `gossip`: frames between instances, and membership.
 //! - `orders`: orders that make engines load their configured setup.
 //! - `tables`: replies to operators' queries.
@@ -55,6 +57,7 @@
 mod config;
 mod coordinator;
 mod copies;
+mod forwarding;
 mod gossip;
 mod instance;
 pub mod job;
@@ -66,6 +69,7 @@
 mod orders;
 pub mod outcome;
 mod placement;
+mod reports;
 pub mod settings;
 mod tables;
 
