--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -342,6 +342,12 @@
             self.config.unanswered_fetches += 1;
             let after = self.config.follower.version();
             let digest = self.config.digest;
+            let text = format!(
+                "Version {version} is requested from {}, request {} for a version after {after}.",
+                self.instance_name(from),
+                self.config.unanswered_fetches
+            );
+            self.log("config", false, text);
             self.send(from, Body::FetchConfig { after, digest });
         }
     }
@@ -409,10 +415,23 @@
     }
 
     /// Installs a whole configuration that another instance has sent.
-    pub(crate) fn on_config_snapshot(&mut self, json: &[u8]) {
-        let Ok(config) = serde_json::from_slice(json) else {
-            return;
+    pub(crate) fn on_config_snapshot(&mut self, from: InstanceId, json: &[u8]) {
+        let config: conf::Config = match serde_json::from_slice(json) {
+            Ok(config) => config,
+            Err(error) => {
+                let from = self.instance_name(from);
+                let text = format!("The configuration sent by {from} can't be decoded: {error}.");
+                self.log("config", true, text);
+                return;
+            }
         };
+        let text = format!(
+            "Version {} received from {}, {} bytes.",
+            config.version,
+            self.instance_name(from),
+            json.len()
+        );
+        self.log("config", false, text);
         let before = self.config.follower.version();
         self.config.follower.install(config);
         self.activate_config(before);
--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -95,7 +95,7 @@
                 self.on_config_version(from, version, digest);
             }
             Body::ConfigChanges { json } => self.on_config_changes(&json),
-            Body::ConfigSnapshot { json } => self.on_config_snapshot(&json),
+            Body::ConfigSnapshot { json } => self.on_config_snapshot(from, &json),
             Body::KeepCopy { attempt, endpoint } => self.on_keep_copy(attempt, endpoint),
             Body::CopyFailed { attempt, pool } => self.on_copy_failed(attempt, &pool),
             Body::FetchServerList => self.on_fetch_server_list(from),
@@ -177,6 +177,14 @@
         }
     }
 
+    /// Returns the name of an instance for log lines, or its id if its name is not known.
+    pub(crate) fn instance_name(&self, id: InstanceId) -> wire::Name {
+        match self.members.entry(id) {
+            Some(entry) => entry.name.clone(),
+            None => id.to_string().into(),
+        }
+    }
+
     /// Sends a frame to an instance, if its address is known.
     pub(crate) fn send(&mut self, to: InstanceId, body: Body) {
         if let Some(entry) = self.members.entry(to) {
