Receive one configuration at a time, and limit reads by their progress

Callers on added routes got 404, or were served by the old service, up to eight seconds after the change was confirmed, at instances on links of 10 Mbit/s.

Cause: transfers were limited and repeated by time alone, whatever their size and the link. A call to the store had 0.9 s in all, and a document of 0.99 MB takes 0.8 s over such a link when it is alone; a read that was cut began anew. After 0.7 s the instance also requested the document from each instance that named its version, again after 0.15, 0.3, 0.6 s, also while an earlier copy of 1.5 MB and its own read were arriving.

Now a read has a limit for the head of the response and for pauses in its body. An instance receives a configuration from at most one side: bytes of its own read and parts from a peer both count as progress, and only 0.7 s without any lets it ask elsewhere, at a random holder, from where it stopped. A sender serves four receivers at a time. Configurations are compressed between instances (flate2), so those of up to some 4,000 routes go down the tree, and the store is read once a data centre.

Ruled out: processor time, 0 to 2 % in those seconds.

The tests in forwarding.rs and versions.rs count the new frame in place of the old, with names that can't be compressed.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -31,6 +31,7 @@
 use crate::message::CommandLine;
 use crate::message::CommandReply;
 use crate::settings::Source;
+use crate::transfer::Transfers;
 
 /// Number of instances of a data centre that watch the head.
 const WATCHERS: usize = 2;
@@ -42,14 +43,6 @@
 const WATCH_QUEUE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Longest time that any other call waits to be sent, or a read to be repeated.
 const CALL_QUEUE_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Least time between two requests to other instances for a newer configuration.
-const FETCH_PERIOD_MIN: Duration = Duration::from_millis(150);
-/// Time after which an instance that can't read a newer external configuration itself fetches it
-/// from another instance.
-const EXTERNAL_READ_GRACE: Duration = Duration::from_millis(700);
-/// Greatest number of times that [`FETCH_PERIOD_MIN`] is doubled while no newer configuration
-/// arrives.
-const FETCH_DOUBLINGS_MAX: u32 = 4;
 /// Number of other instances to which an instance sends each new version at once.
 const PUSH_FANOUT: usize = 3;
 /// Time after which a command that is not accepted fails.
@@ -108,10 +101,8 @@
     reading_head: bool,
     /// When the head is read or watched next.
     next_head_read: Time,
-    /// When a newer version may next be fetched from another instance.
-    next_fetch: Time,
-    /// Fetches since a newer version last came into force.
-    unanswered_fetches: u32,
+    /// Transfers of configurations from and to other instances.
+    pub(crate) transfers: Transfers,
     /// When this instance learnt that a newer version than its own is in force elsewhere.
     pub(crate) behind_since: Option<Time>,
     /// Hash of the configuration in force without its version. Zero if there is none.
@@ -165,9 +156,9 @@
         self.digest
     }
 
-    /// Resets the backoff of fetches, after a newer version has come into force.
-    pub(crate) fn reset_fetch_backoff(&mut self) {
-        self.unanswered_fetches = 0;
+    /// Records that a newer version has come into force.
+    pub(crate) fn on_version_in_force(&mut self) {
+        self.transfers.on_config_in_force(self.follower.version());
         self.behind_since = None;
     }
 
@@ -312,74 +303,13 @@
         }
     }
 
-    /// Records which version another instance has in force, with the hash of its content or zero,
-    /// and fetches that version if it is newer.
-    pub(crate) fn observe_version(&mut self, from: InstanceId, version: Version, digest: u64) {
-        self.config.versions.insert(from, version);
-        if self.config.versions.len() > self.members.rumours().count() * 2 + 8 {
-            let members = &self.members;
-            self.config.versions.retain(|id, _| members.is_running(*id));
-        }
-        self.config.follower.observe_version(version);
-        if version <= self.config.follower.version() {
-            return;
-        }
-        if digest != 0 && digest == self.config.digest {
-            self.on_confirm_config(version, digest);
-            return;
-        }
-        let behind_since = *self.config.behind_since.get_or_insert(self.now);
-        let is_external = self.settings.source == Source::External;
-        if is_external && self.now.saturating_sub(behind_since) < EXTERNAL_READ_GRACE {
-            return;
-        }
-        if self.now >= self.config.next_fetch {
-            // A large configuration takes a while over a slow link, and repeated requests add to
-            // the load of that link.
-            let backoff = FETCH_PERIOD_MIN
-                * 2u32.pow(self.config.unanswered_fetches.min(FETCH_DOUBLINGS_MAX));
-            self.config.next_fetch = self.now + backoff;
-            self.config.unanswered_fetches += 1;
-            let after = self.config.follower.version();
-            let digest = self.config.digest;
-            let text = format!(
-                "Version {version} is requested from {}, request {} for a version after {after}.",
-                self.instance_name(from),
-                self.config.unanswered_fetches
-            );
-            self.log("config", false, text);
-            self.send(from, Body::FetchConfig { after, digest });
-        }
-    }
-
-    /// Answers an instance that has an older version: with the version alone if the digests are
-    /// equal, else with the changes after its version, or with the whole configuration if the
-    /// changes are no longer kept.
-    pub(crate) fn on_fetch_config(&mut self, from: InstanceId, after: Version, digest: u64) {
-        let version = self.config.follower.version();
-        if version <= after {
-            return;
-        }
-        if digest != 0 && digest == self.config.digest {
-            self.send(from, Body::ConfirmConfig { version, digest });
-            return;
-        }
-        let body = match self.config.follower.changes_after(after) {
-            Some(changes) => serde_json::to_vec(&changes).map(|json| Body::ConfigChanges { json }),
-            None => serde_json::to_vec(self.config()).map(|json| Body::ConfigSnapshot { json }),
-        };
-        if let Ok(body) = body {
-            self.send(from, body);
-        }
-    }
-
     /// Adopts a later version whose content is the same as the configuration in force. The version
     /// of an external configuration is the revision at which it was read, so instances that read
     /// the same content at different times have different versions of it.
     pub(crate) fn on_confirm_config(&mut self, version: Version, digest: u64) {
         if digest == self.config.digest {
             self.config.follower.adopt_version(version);
-            self.config.reset_fetch_backoff();
+            self.config.on_version_in_force();
         }
     }
 
--- a/crates/core/src/forwarding.rs
+++ b/crates/core/src/forwarding.rs
@@ -20,7 +20,7 @@
 /// Number of instances to which each instance of a data centre forwards a new external
 /// configuration.
 const FORWARD_FANOUT: usize = 4;
-/// Maximum size of an external configuration that is forwarded, in bytes of JSON. For larger ones
+/// Maximum size of an external configuration that is forwarded, in compressed bytes. For larger ones
 /// only the version is forwarded, and each instance reads the configuration itself, since it takes
 /// seconds to send a large one to several instances over a slow link.
 const FORWARDED_BYTES_MAX: usize = 96 * 1_024;
@@ -29,6 +29,9 @@
     /// Returns whether this instance should read the external configuration now, although another
     /// one reads it for the data centre: a newer version is known and was not received.
     pub fn should_read_config(&self) -> bool {
+        if self.config.transfers.is_receiving(self.now) {
+            return false;
+        }
         let behind_since = self.config.behind_since;
         behind_since.is_some_and(|since| self.now.saturating_sub(since) >= EXTERNAL_PUSH_GRACE)
     }
@@ -41,15 +44,19 @@
         if followers.is_empty() {
             return;
         }
-        let (version, digest) = (self.config.follower.version(), self.config.digest());
-        let body = match serde_json::to_vec(self.config()) {
-            Ok(json) if json.len() <= FORWARDED_BYTES_MAX => Body::ConfigSnapshot { json },
-            Ok(_) => Body::ConfigVersion { version, digest },
-            Err(error) => {
-                let text = format!("The configuration can't be encoded: {error}.");
-                self.log("config", true, text);
-                return;
-            }
+        let digest = self.config.digest();
+        let Some((version, encoded)) = self.encoded_config() else {
+            return;
+        };
+        let size = encoded.len();
+        let body = match size <= FORWARDED_BYTES_MAX {
+            true => Body::ConfigPart {
+                version,
+                offset: 0,
+                size,
+                bytes: encoded.to_vec(),
+            },
+            false => Body::ConfigVersion { version, digest },
         };
         for to in followers {
             self.send(to, body.clone());
--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -90,6 +90,15 @@
             Body::Settle(settle) => self.on_settle(from, settle),
             Body::Settled { claim } => self.on_settled(claim),
             Body::FetchConfig { after, digest } => self.on_fetch_config(from, after, digest),
+            Body::FetchConfigPart { version, offset } => {
+                self.on_fetch_config_part(from, version, offset);
+            }
+            Body::ConfigPart {
+                version,
+                offset,
+                size,
+                bytes,
+            } => self.on_config_part(from, version, offset, size, &bytes),
             Body::ConfirmConfig { version, digest } => self.on_confirm_config(version, digest),
             Body::ConfigVersion { version, digest } => {
                 self.on_config_version(from, version, digest);
--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -199,6 +199,7 @@
             Input::List(listed) => self.on_list(listed),
             Input::ServerList(list) => self.on_server_list_read(list),
             Input::AdoptConfig(config) => self.on_adopt_config(&config),
+            Input::ConfigReadProgress => self.on_config_read_progress(),
             Input::Command(command) => self.on_command(command),
             Input::Leave => self.on_leave(),
             Input::Stop => self.on_stop(),
@@ -327,7 +328,7 @@
         if version == before {
             return;
         }
-        self.config.reset_fetch_backoff();
+        self.config.on_version_in_force();
         self.list_changes += 1;
         self.server_counts.clear();
         self.update_digest();
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -72,6 +72,7 @@
 mod reports;
 pub mod settings;
 mod tables;
+mod transfer;
 
 pub use crate::instance::Instance;
 pub use crate::instance::Violation;
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -187,6 +187,8 @@
     ServerList(ServerListUpdate),
     /// A complete configuration, where it is kept outside the system.
     AdoptConfig(Arc<Config>),
+    /// More bytes of a configuration that the shell reads have arrived.
+    ConfigReadProgress,
     /// An operator's command.
     Command(CommandLine),
     /// The process shuts down gracefully: it finishes its work and then ends.
--- a/crates/core/tests/forwarding.rs
+++ b/crates/core/tests/forwarding.rs
@@ -68,7 +68,7 @@
             let Output::Send { address, body, .. } = output else {
                 continue;
             };
-            self.snapshots_sent[index] += usize::from(matches!(body, Body::ConfigSnapshot { .. }));
+            self.snapshots_sent[index] += usize::from(matches!(body, Body::ConfigPart { .. }));
             let to = self.instances.iter().position(|instance| {
                 instance
                     .entry(instance.id())
@@ -128,8 +128,10 @@
         version,
         ..Config::default()
     };
-    for number in 0..pools {
-        let name = format!("pool-{number}");
+    let mut rng = fastrand::Rng::with_seed(1);
+    for _ in 0..pools {
+        // Random names keep the size of the compressed configuration in proportion.
+        let name = format!("pool-{:032x}{:032x}", rng.u128(..), rng.u128(..));
         config.pools.insert(name.as_str().into(), Pool::default());
     }
     Arc::new(config)
@@ -151,7 +153,7 @@
 fn large_configuration_is_announced_and_read_by_each_instance() {
     let mut fleet = Fleet::new();
     let reader = fleet.reader();
-    fleet.input(reader, Input::AdoptConfig(config(20, 2_000)));
+    fleet.input(reader, Input::AdoptConfig(config(20, 4_000)));
     fleet.advance(Duration::from_millis(650), true);
     assert_eq!(fleet.adopted(20), 1);
     let reading = fleet
--- a/crates/core/tests/slow_links.rs
+++ b/crates/core/tests/slow_links.rs
@@ -45,11 +45,14 @@
     downlinks_busy_until: Vec<Duration>,
     /// Bytes of configurations that each instance has received.
     config_bytes: Vec<usize>,
+    /// Index of an instance that has ended.
+    ended: Option<usize>,
 }
 
 fn config_size(body: &Body) -> usize {
     match body {
         Body::ConfigSnapshot { json } | Body::ConfigChanges { json } => json.len(),
+        Body::ConfigPart { bytes, .. } => bytes.len(),
         _ => 0,
     }
 }
@@ -86,6 +89,7 @@
             uplinks_busy_until: vec![START; COUNT],
             downlinks_busy_until: vec![START; COUNT],
             config_bytes: vec![0; COUNT],
+            ended: None,
         };
         for index in 0..COUNT {
             fleet.input(index, Input::List(listed.clone()));
@@ -95,6 +99,9 @@
     }
 
     fn input(&mut self, index: usize, input: Input) {
+        if self.ended == Some(index) {
+            return;
+        }
         let outputs = self.instances[index].handle(self.now, WALL + self.now, input);
         for output in outputs {
             if let Output::Send { address, body, .. } = output {
@@ -148,7 +155,7 @@
                 }
             }
             self.now = tick_at;
-            let reads_list = self.now.as_millis() % LIST_PERIOD.as_millis() == 0;
+            let reads_list = self.now.as_millis().is_multiple_of(LIST_PERIOD.as_millis());
             for index in 0..COUNT {
                 self.input(index, Input::Tick);
                 if reads_list && self.instances[index].should_read_server_list() {
@@ -163,37 +170,98 @@
     }
 }
 
-fn large_config() -> Config {
+/// Returns a configuration whose routes have names of some random bytes in hexadecimal digits.
+fn large_config(version: conf::Version, routes: usize, random_bytes: usize) -> Config {
+    let mut rng = fastrand::Rng::with_seed(1);
     let mut config = Config {
-        version: 20,
+        version,
         ..Config::default()
     };
-    for number in 0..ROUTES {
-        let name = format!("route-{number}");
+    for number in 0..routes {
+        let mut name = format!("route-{number}-");
+        for _ in 0..random_bytes {
+            name.push_str(&format!("{:02x}", rng.u8(..)));
+        }
         config.routes.insert(name.as_str().into(), Route::default());
     }
     config
 }
 
+impl Fleet {
+    fn adopt_at_reader(&mut self, config: Config) {
+        let reader = self
+            .instances
+            .iter()
+            .position(Instance::should_read_server_list)
+            .expect("one instance reads the list");
+        self.input(reader, Input::AdoptConfig(Arc::new(config)));
+    }
+
+    fn in_force(&self, version: conf::Version) -> usize {
+        self.instances
+            .iter()
+            .filter(|instance| instance.config().version == version)
+            .count()
+    }
+}
+
 #[test]
 fn requests_for_a_large_configuration_do_not_displace_each_other() {
     let mut fleet = Fleet::new();
-    let config = large_config();
+    let config = large_config(20, ROUTES, 0);
     let size = serde_json::to_vec(&config).map_or(0, |json| json.len());
     assert!(size > 1_000_000, "{size}");
+    fleet.adopt_at_reader(config);
+    fleet.advance(IN_FORCE_MAX);
+    let most = fleet.config_bytes.iter().max();
+    assert_eq!(
+        fleet.in_force(20),
+        COUNT,
+        "received {most:?} of {size} bytes at most"
+    );
+    assert!(most < Some(&(size * 2)), "{most:?} of {size} bytes");
+}
+
+#[test]
+fn configuration_in_many_parts_is_received_once() {
+    let mut fleet = Fleet::new();
+    // Some 0.25 MB that can't be compressed.
+    fleet.adopt_at_reader(large_config(20, ROUTES, 64));
+    fleet.advance(IN_FORCE_MAX);
+    let most = fleet.config_bytes.iter().max();
+    assert_eq!(fleet.in_force(20), COUNT, "received {most:?} bytes at most");
+    let least = fleet.config_bytes.iter().filter(|bytes| **bytes > 0).min();
+    assert!(
+        most < least.map(|least| least * 2).as_ref(),
+        "{most:?} against {least:?} bytes"
+    );
+}
+
+#[test]
+fn configuration_replaced_while_it_is_received_is_followed_to_its_successor() {
+    let mut fleet = Fleet::new();
+    fleet.adopt_at_reader(large_config(20, ROUTES, 64));
+    fleet.advance(Duration::from_millis(1_200));
+    assert!(fleet.in_force(20) < COUNT);
+    fleet.adopt_at_reader(large_config(30, ROUTES, 64));
+    fleet.advance(IN_FORCE_MAX);
+    assert_eq!(fleet.in_force(30), COUNT);
+}
+
+#[test]
+fn receiver_whose_sender_ends_continues_with_another_sender() {
+    let mut fleet = Fleet::new();
+    let config = large_config(20, ROUTES, 64);
     let reader = fleet
         .instances
         .iter()
         .position(Instance::should_read_server_list)
         .expect("one instance reads the list");
-    fleet.input(reader, Input::AdoptConfig(Arc::new(config)));
+    let second = (reader + 1) % COUNT;
+    fleet.input(reader, Input::AdoptConfig(Arc::new(config.clone())));
+    fleet.input(second, Input::AdoptConfig(Arc::new(config)));
+    fleet.advance(Duration::from_millis(1_200));
+    fleet.ended = Some(reader);
     fleet.advance(IN_FORCE_MAX);
-    let in_force = fleet
-        .instances
-        .iter()
-        .filter(|instance| instance.config().version == 20)
-        .count();
-    let most = fleet.config_bytes.iter().max();
-    assert_eq!(in_force, COUNT, "received {most:?} of {size} bytes at most");
-    assert!(most < Some(&(size * 2)), "{most:?} of {size} bytes");
+    assert_eq!(fleet.in_force(20), COUNT);
 }
--- a/crates/core/tests/versions.rs
+++ b/crates/core/tests/versions.rs
@@ -73,7 +73,7 @@
                 continue;
             };
             self.sent.push(body.clone());
-            if self.lossy && matches!(body, Body::ConfigSnapshot { .. }) {
+            if self.lossy && matches!(body, Body::ConfigPart { .. }) {
                 continue;
             }
             let frame = Frame {
@@ -112,7 +112,7 @@
 }
 
 fn is_snapshot(body: &Body) -> bool {
-    matches!(body, Body::ConfigSnapshot { .. })
+    matches!(body, Body::ConfigPart { .. })
 }
 
 fn is_fetch(body: &Body) -> bool {
--- a/crates/soak/src/simulation.rs
+++ b/crates/soak/src/simulation.rs
@@ -134,6 +134,8 @@
             | wire::Body::Settle(_)
             | wire::Body::Settled { .. } => 2,
             wire::Body::FetchConfig { .. }
+            | wire::Body::FetchConfigPart { .. }
+            | wire::Body::ConfigPart { .. }
             | wire::Body::ConfigChanges { .. }
             | wire::Body::ConfigSnapshot { .. } => 3,
             _ => 1,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -236,6 +236,24 @@
     FetchServerList,
     /// Sends changes of the list of backend servers, or the whole list.
     ServerList(server_list::ServerListUpdate),
+    /// Requests the next part of a large configuration.
+    FetchConfigPart {
+        /// The version of the configuration.
+        version: Version,
+        /// Number of bytes that the sender has received.
+        offset: usize,
+    },
+    /// Sends a compressed configuration, or one part of a large one.
+    ConfigPart {
+        /// The version of the configuration.
+        version: Version,
+        /// Position of the part in the compressed configuration, in bytes.
+        offset: usize,
+        /// Size of the whole compressed configuration in bytes.
+        size: usize,
+        /// The part of the configuration's JSON, compressed by DEFLATE (RFC 1951).
+        bytes: Vec<u8>,
+    },
 }
 
 /// Error of decoding or checking a frame.
