--- a/crates/core/src/lifecycle.rs
+++ b/crates/core/src/lifecycle.rs
@@ -10,6 +10,7 @@
 use suspect::Status;
 use wire::AttemptId;
 use wire::Name;
+use wire::PartId;
 use wire::RequestId;
 use wire::admission::End;
 use wire::admission::Grant;
@@ -65,6 +66,12 @@
 /// all instances.
 const SUSPECT_RETRY_PAUSE: Duration = Duration::from_millis(300);
 
+/// Returns parts of a prompt as written in log lines.
+fn part_names(parts: &[PartId]) -> String {
+    let names: Vec<String> = parts.iter().map(|part| format!("{part:016x}")).collect();
+    names.join(",")
+}
+
 impl Instance {
     /// Accepts a caller's request: creates its job and claims its idempotency key or places it.
     pub(crate) fn on_request(&mut self, request: Request) {
@@ -520,8 +527,12 @@
                 let hash = suspect::server_hash(&running.server, running.boot);
                 self.suspects.record_strike(self.now, fingerprint, hash);
                 let text = format!(
-                    "Request {id} was running on server {} (boot {}) when the server crashed.",
-                    running.server, running.boot
+                    "Request {id} was running on server {} (boot {}) when the server crashed, {} \
+                     tokens generated, prompt parts {}.",
+                    running.server,
+                    running.boot,
+                    running.generated,
+                    part_names(&job.request.parts)
                 );
                 self.log("suspect", true, text);
                 self.broadcast_strike(fingerprint, hash);
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -13,6 +13,7 @@
 use wire::InstanceId;
 use wire::Key;
 use wire::Name;
+use wire::PartId;
 use wire::RequestId;
 use wire::admission::Endpoint;
 pub use wire::server_list::Server as ListedServer;
@@ -37,6 +38,9 @@
     pub prompt_tokens: u32,
     /// Hashes of the prompt's prefixes, longest last.
     pub prefixes: Vec<u64>,
+    /// The parts of the prompt that other requests may share, in any order and whatever precedes
+    /// them.
+    pub parts: Vec<PartId>,
     /// Greatest number of output tokens that the caller allows, if it set a limit.
     pub max_tokens: Option<u32>,
     /// Expected number of output tokens, if the caller sent an estimate.
--- a/crates/core/tests/driver/mod.rs
+++ b/crates/core/tests/driver/mod.rs
@@ -182,6 +182,7 @@
             fingerprint: id,
             prompt_tokens: 2_000,
             prefixes: Vec::new(),
+            parts: Vec::new(),
             max_tokens: None,
             expected_tokens: Some(900),
             timeout: Some(Duration::from_secs(39)),
--- a/crates/core/tests/spill.rs
+++ b/crates/core/tests/spill.rs
@@ -167,6 +167,7 @@
             fingerprint: id,
             prompt_tokens: 500,
             prefixes: Vec::new(),
+            parts: Vec::new(),
             max_tokens: None,
             expected_tokens: Some(100),
             timeout: Some(Duration::from_secs(39)),
--- a/crates/exchange/src/codec.rs
+++ b/crates/exchange/src/codec.rs
@@ -14,6 +14,7 @@
 use wigeon_core::Outcome;
 use wigeon_core::ServerNotice;
 use wigeon_core::message::Dispatch;
+use wire::PartId;
 use wire::admission::Endpoint;
 
 /// The fields of a request's headers that routing and forwarding need.
@@ -35,6 +36,8 @@
     pub expected_tokens: Option<u32>,
     /// Hashes of the prompt's prefixes, shortest first.
     pub prefix_hashes: Vec<u64>,
+    /// The parts of the prompt that other requests may share.
+    pub shared_parts: Vec<PartId>,
     /// Id of the last event that the caller has received, if it resumes a stream.
     pub last_event_id: Option<u64>,
     /// The caller's header fields that are forwarded to a backend server unchanged.
--- a/crates/exchange/src/relay.rs
+++ b/crates/exchange/src/relay.rs
@@ -232,6 +232,7 @@
             fingerprint: fingerprint(&meta, &parts, &payload),
             prompt_tokens: meta.prompt_tokens,
             prefixes: meta.prefix_hashes.clone(),
+            parts: meta.shared_parts.clone(),
             max_tokens: meta.max_tokens,
             expected_tokens: meta.expected_tokens,
             timeout: meta.caller_timeout,
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -296,6 +296,7 @@
         fingerprint,
         prompt_tokens: u32::try_from(tokens).unwrap_or(u32::MAX),
         prefixes: prefixes(text),
+        parts: Vec::new(),
         max_tokens: None,
         expected_tokens: None,
         timeout: None,
--- a/crates/soak/src/simulation/load.rs
+++ b/crates/soak/src/simulation/load.rs
@@ -113,6 +113,7 @@
             fingerprint: number,
             prompt_tokens: 20,
             prefixes: Vec::new(),
+            parts: Vec::new(),
             max_tokens: None,
             expected_tokens: None,
             timeout: None,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -56,6 +56,8 @@
 pub type BootId = u64;
 /// Hash of the content of a request.
 pub type Fingerprint = u64;
+/// Hash that identifies a part of prompts, for example a template that many requests share.
+pub type PartId = u64;
 /// Hash of an idempotency key with its organisation and route.
 pub type Key = u128;
 /// Version number of the configuration.
