Bar parts of prompts that crash the servers that begin to write on them

Cause: a strike is given to a request's fingerprint, and requests with such a part are no two alike, so none was known before. The class is a fault identified by the wrong thing: the request, where a part of it is at fault.

A crash counts against the parts of the runs that were in their opening, and a run that gets past its opening refutes all crashes before it. Three unrefuted crashes, apart in time and under different requests, bar a part at all instances: its requests are refused at once with 503 and the time until the bar ends. A crash counts against one barred part only, so parts and callers that keep it company go on.

Ruled out: lost strikes (barred follows everywhere within 0.1 s of the second strike), ill servers (fresh boots crash as well).

--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -53,6 +53,7 @@
     fn on_body(&mut self, from: InstanceId, body: Body, age: Duration) {
         match body {
             Body::Strikes { strikes } => self.merge_strikes(&strikes),
+            Body::PartFindings { findings } => self.on_part_findings(&findings),
             Body::Leaving { servers } => self.on_leaving_servers(&servers),
             Body::Reserve(reservation) => self.on_reservation(from, reservation),
             Body::Grant(grant) => {
@@ -165,6 +166,7 @@
             self.reset_schedulers();
         }
         self.send_all(tick.sends);
+        self.gossip_findings();
     }
 
     /// Updates the strikes, leaving servers and configuration version that this instance gossips.
--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -34,6 +34,7 @@
 use crate::message::ListedServer;
 use crate::message::Output;
 use crate::notices::Backoffs;
+use crate::parts::SuspectParts;
 use crate::placement::ServerCounts;
 use crate::settings::Settings;
 
@@ -112,6 +113,7 @@
     pub(crate) next_ticket: Ticket,
     pub(crate) config: ConfigState,
     pub(crate) suspects: Table,
+    pub(crate) suspect_parts: SuspectParts,
     pub(crate) reconciler: Reconciler,
     /// When orders to engines are considered next.
     pub(crate) next_orders: Time,
@@ -157,6 +159,7 @@
             next_ticket: 0,
             config: ConfigState::new(settings.source),
             suspects: Table::new(settings.strikes),
+            suspect_parts: SuspectParts::default(),
             reconciler: Reconciler::new(&own.data_centre, own.id),
             next_orders: Time::ZERO,
             meter: Meter::default(),
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -68,6 +68,7 @@
 mod notices;
 mod orders;
 pub mod outcome;
+mod parts;
 mod placement;
 mod reports;
 pub mod settings;
--- a/crates/core/src/lifecycle.rs
+++ b/crates/core/src/lifecycle.rs
@@ -10,7 +10,6 @@
 use suspect::Status;
 use wire::AttemptId;
 use wire::Name;
-use wire::PartId;
 use wire::RequestId;
 use wire::admission::End;
 use wire::admission::Grant;
@@ -31,6 +30,7 @@
 use crate::outcome::Outcome;
 use crate::outcome::Reason;
 use crate::outcome::Refusal;
+use crate::parts;
 use crate::settings::Source;
 
 /// Expected output in tokens of a route for which no answer has been observed.
@@ -66,12 +66,6 @@
 /// all instances.
 const SUSPECT_RETRY_PAUSE: Duration = Duration::from_millis(300);
 
-/// Returns parts of a prompt as written in log lines.
-fn part_names(parts: &[PartId]) -> String {
-    let names: Vec<String> = parts.iter().map(|part| format!("{part:016x}")).collect();
-    names.join(",")
-}
-
 impl Instance {
     /// Accepts a caller's request: creates its job and claims its idempotency key or places it.
     pub(crate) fn on_request(&mut self, request: Request) {
@@ -108,6 +102,8 @@
         self.jobs.insert(id, job);
         if self.suspects.status(self.now, fingerprint) == Status::Barred {
             self.end_barred(id);
+        } else if self.end_if_part_barred(id) {
+            // Its caller has been told.
         } else if self.would_be_cut_by_shutdown(id) {
             self.end(id, Reason::Leaving, Some(OTHER_INSTANCE_RETRY_AFTER));
         } else if needs_claim {
@@ -403,8 +399,16 @@
 
     fn on_progress(&mut self, id: RequestId, generated: u32, delivered: u32) {
         self.record_delivered(id, delivered);
-        if let Some(Phase::Running(running)) = self.jobs.get_mut(&id).map(|job| &mut job.phase) {
-            running.generated = running.generated.max(generated);
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if let Phase::Running(running) = &mut job.phase {
+            let before = running.generated;
+            running.generated = before.max(generated);
+            if parts::gets_past_opening(before, generated) {
+                let parts = job.request.parts.clone();
+                self.record_part_sound(&parts);
+            }
         }
         self.record_progress(id);
     }
@@ -424,6 +428,10 @@
         self.length_estimator
             .add(&request.route, &request.organisation, generated);
         self.suspects.clear(self.now, request.fingerprint);
+        let is_opening = |running: &Running| parts::is_opening(running.generated);
+        if running.as_ref().is_some_and(is_opening) {
+            self.record_part_sound(&request.parts);
+        }
         if let Some(Phase::Running(running)) = self.jobs.get_mut(&id).map(|job| &mut job.phase) {
             running.generated = generated;
         }
@@ -532,10 +540,14 @@
                     running.server,
                     running.boot,
                     running.generated,
-                    part_names(&job.request.parts)
+                    parts::part_names(&job.request.parts)
                 );
+                let request = job.request.clone();
                 self.log("suspect", true, text);
                 self.broadcast_strike(fingerprint, hash);
+                if parts::is_opening(running.generated) {
+                    self.record_part_crash(&request, hash);
+                }
             }
         }
         if self.resume_from_copy(id) {
@@ -592,6 +604,9 @@
 
     /// Starts another attempt if the pool's retry budget allows it now.
     fn retry(&mut self, id: RequestId) {
+        if self.end_if_part_barred(id) {
+            return;
+        }
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -29,6 +29,8 @@
     RetriesSpent,
     /// The request was running on too many backend servers when they crashed.
     Barred,
+    /// A part of the request's prompt crashes backend servers.
+    PartBarred,
     /// The output of a new attempt differed from what was already delivered.
     Diverged,
     /// The caller disconnected.
@@ -55,6 +57,7 @@
             Reason::Lost => "lost",
             Reason::RetriesSpent => "retries-spent",
             Reason::Barred => "barred",
+            Reason::PartBarred => "part-barred",
             Reason::Diverged => "diverged",
             Reason::Cancelled => "cancelled",
             Reason::ServerError => "server-error",
--- /dev/null
+++ b/crates/core/src/parts.rs
@@ -0,0 +1,243 @@
+//! Requests whose prompts contain a part that crashes backend servers.
+//!
+//! The evidence and the verdict are in [`suspect::parts`]. This module records the evidence of the
+//! own attempts, exchanges it with the other instances, and keeps barred requests from running.
+
+use std::time::Duration;
+
+use clock::Time;
+use suspect::parts::Change;
+use suspect::parts::OPENING_TOKENS;
+use suspect::parts::Status;
+use wire::Body;
+use wire::InstanceId;
+use wire::PartId;
+use wire::RequestId;
+use wire::gossip::Evidence;
+use wire::gossip::PartFinding;
+
+use crate::instance::Instance;
+use crate::job::Phase;
+use crate::message::Request;
+use crate::outcome::Reason;
+
+/// Time after which a request on trial that has neither crashed a server nor got past its opening
+/// is replaced by another one.
+const TRIAL_TIME: Duration = Duration::from_secs(10);
+/// Retry-after of a request that has to wait for the end of another one's trial.
+const TRIAL_RETRY_AFTER: Duration = Duration::from_secs(2);
+
+/// The parts of prompts that are suspected, and the trials of those whose bar has ended.
+#[derive(Debug, Default)]
+pub(crate) struct SuspectParts {
+    table: suspect::parts::Table,
+    /// The request on trial for each part, with the start of the trial.
+    trials: Vec<(PartId, RequestId, Time)>,
+}
+
+/// Returns parts of a prompt as written in log lines.
+pub(crate) fn part_names(parts: &[PartId]) -> String {
+    let names: Vec<String> = parts.iter().map(|part| format!("{part:016x}")).collect();
+    names.join(",")
+}
+
+impl Instance {
+    /// Records that a server crashed while a request was running there in its opening, and reports
+    /// it to all instances.
+    pub(crate) fn record_part_crash(&mut self, request: &Request, server: u64) {
+        let findings: Vec<PartFinding> = request
+            .parts
+            .iter()
+            .map(|part| PartFinding {
+                part: *part,
+                age_ms: 0,
+                evidence: Evidence::Crash {
+                    server,
+                    request: request.fingerprint,
+                },
+            })
+            .collect();
+        self.merge_findings(&findings);
+        self.broadcast_findings(&findings);
+    }
+
+    /// Records that the run of a request got past its opening. If that refutes crashes, it is
+    /// reported to all instances, through one of them for each part: many instances run requests
+    /// with a part that many prompts share.
+    pub(crate) fn record_part_sound(&mut self, parts: &[PartId]) {
+        for part in parts {
+            let finding = PartFinding {
+                part: *part,
+                age_ms: 0,
+                evidence: Evidence::Sound,
+            };
+            if self.merge_findings(&[finding]).is_empty() {
+                continue;
+            }
+            match self.trial_instance(*part) {
+                Some(reporter) if reporter != self.id() => {
+                    let findings = vec![finding];
+                    self.send(reporter, Body::PartFindings { findings });
+                }
+                _ => self.broadcast_findings(&[finding]),
+            }
+        }
+    }
+
+    /// Adds findings of another instance, and passes on those that this instance reports to all.
+    pub(crate) fn on_part_findings(&mut self, findings: &[PartFinding]) {
+        let news = self.merge_findings(findings);
+        let reported: Vec<PartFinding> = news
+            .into_iter()
+            .filter(|finding| finding.evidence == Evidence::Sound)
+            .filter(|finding| self.trial_instance(finding.part) == Some(self.id()))
+            .collect();
+        if !reported.is_empty() {
+            self.broadcast_findings(&reported);
+        }
+    }
+
+    /// Adds findings and acts on the changes of verdicts. Returns the findings that were news.
+    fn merge_findings(&mut self, findings: &[PartFinding]) -> Vec<PartFinding> {
+        let table = &mut self.suspect_parts.table;
+        let news = findings
+            .iter()
+            .filter(|finding| table.merge(self.now, finding))
+            .copied()
+            .collect();
+        for change in table.take_changes() {
+            match change.barred_until {
+                Some(until) if self.now < until => self.on_part_barred(&change, until),
+                Some(_) => {
+                    let text = format!(
+                        "Part {:016x} of prompts is on trial: other parts explain its {} crashes.",
+                        change.part, change.crashes
+                    );
+                    self.log("suspect", true, text);
+                }
+                None => {
+                    let text = format!(
+                        "Part {:016x} of prompts is cleared after {} crashes: a run got past its \
+                         opening.",
+                        change.part, change.crashes
+                    );
+                    self.log("suspect", true, text);
+                }
+            }
+        }
+        news
+    }
+
+    /// Logs the bar of a part, and ends the requests with it that have not been dispatched.
+    fn on_part_barred(&mut self, change: &Change, until: Time) {
+        let part = change.part;
+        self.suspect_parts
+            .trials
+            .retain(|(tried, _, _)| *tried != part);
+        let bar = until.saturating_sub(self.now);
+        let text = format!(
+            "Part {part:016x} of prompts is barred for {} s: {} servers crashed under runs in their \
+             opening and none got past it since.",
+            bar.as_secs(),
+            change.crashes
+        );
+        self.log("suspect", true, text);
+        let waiting: Vec<RequestId> = self
+            .jobs
+            .values()
+            .filter(|job| job.request.parts.contains(&part))
+            .filter(|job| matches!(job.phase, Phase::Placing(_) | Phase::Waiting))
+            .map(|job| job.request.id)
+            .collect();
+        for id in waiting {
+            self.end(id, Reason::PartBarred, Some(bar));
+        }
+    }
+
+    fn broadcast_findings(&mut self, findings: &[PartFinding]) {
+        let others: Vec<InstanceId> = self.members.running_others().collect();
+        // The frame is not acknowledged, so it is sent twice in case one is lost.
+        for to in others.iter().chain(&others) {
+            let findings = findings.to_vec();
+            self.send(*to, Body::PartFindings { findings });
+        }
+    }
+
+    /// Sends findings to a random instance, for those that have missed the broadcast.
+    pub(crate) fn gossip_findings(&mut self) {
+        let others: Vec<InstanceId> = self.members.running_others().collect();
+        if others.is_empty() {
+            return;
+        }
+        let findings = self.suspect_parts.table.take_gossip(self.now);
+        if findings.is_empty() {
+            return;
+        }
+        let to = others[self.rng.usize(..others.len())];
+        self.send(to, Body::PartFindings { findings });
+    }
+
+    /// Returns the instance that may run requests on trial for a part.
+    fn trial_instance(&self, part: PartId) -> Option<InstanceId> {
+        let running = self.members.running_others().chain([self.id()]);
+        let key = format!("{part:016x}");
+        member::rendezvous::order(&key, running, 1).first().copied()
+    }
+
+    /// Ends a request whose prompt contains a barred part, unless it may run on trial. Returns
+    /// whether it was ended.
+    pub(crate) fn end_if_part_barred(&mut self, id: RequestId) -> bool {
+        let Some(job) = self.jobs.get(&id) else {
+            return false;
+        };
+        let parts = job.request.parts.clone();
+        let status = |part: &PartId| self.suspect_parts.table.status(self.now, *part);
+        let longest_bar = parts
+            .iter()
+            .filter_map(|part| match status(part) {
+                Status::Barred { until } => Some(until.saturating_sub(self.now)),
+                Status::Clear | Status::OnTrial => None,
+            })
+            .max();
+        let on_trial: Vec<PartId> = parts
+            .iter()
+            .filter(|part| status(part) == Status::OnTrial)
+            .copied()
+            .collect();
+        let retry_after = match longest_bar {
+            Some(bar) => bar,
+            None if on_trial.into_iter().all(|part| self.take_trial(part, id)) => return false,
+            None => TRIAL_RETRY_AFTER,
+        };
+        self.end(id, Reason::PartBarred, Some(retry_after));
+        true
+    }
+
+    /// Returns whether a request is the one on trial for a part, and makes it so if there is none
+    /// and this instance runs the trials of the part.
+    fn take_trial(&mut self, part: PartId, id: RequestId) -> bool {
+        let now = self.now;
+        let trials = &mut self.suspect_parts.trials;
+        trials.retain(|(_, _, started_at)| now.saturating_sub(*started_at) < TRIAL_TIME);
+        if let Some((_, tried, _)) = trials.iter().find(|(tried, _, _)| *tried == part) {
+            return *tried == id;
+        }
+        if self.trial_instance(part) != Some(self.id()) {
+            return false;
+        }
+        self.suspect_parts.trials.push((part, id, now));
+        let text = format!("Request {id} runs on trial for part {part:016x} of prompts.");
+        self.log("suspect", false, text);
+        true
+    }
+}
+
+/// Returns whether a run with so much output is in its opening.
+pub(crate) fn is_opening(generated: u32) -> bool {
+    generated < OPENING_TOKENS
+}
+
+/// Evidence against a request's parts is given once for each run, and so is evidence for them.
+pub(crate) fn gets_past_opening(before: u32, generated: u32) -> bool {
+    is_opening(before) && !is_opening(generated)
+}
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -475,6 +475,10 @@
             self.end_barred(id);
             return;
         }
+        if self.end_if_part_barred(id) {
+            self.return_grant(from, grant.attempt);
+            return;
+        }
         let age = age + Duration::from_millis(u64::from(grant.age_ms));
         if age < GRANT_AGE_MAX {
             // The other reservation is withdrawn only once this grant has been dispatched.
--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -163,6 +163,10 @@
         "barred" => {
             "Several servers crashed while they ran the request, so it is not sent to another one."
         }
+        "part-barred" => {
+            "Several servers crashed when they began to answer prompts with a part of this one's, \
+             so it is not sent to another one for now."
+        }
         "cancelled" => "The caller closed the connection.",
         _ => "See docs/OPERATIONS.md for this reason.",
     };
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -507,6 +507,7 @@
         | Reason::NoServer
         | Reason::NoLedger
         | Reason::RetriesSpent
+        | Reason::PartBarred
         | Reason::Leaving => StatusCode::SERVICE_UNAVAILABLE,
         Reason::KeyInUse | Reason::KeyUnknown => StatusCode::CONFLICT,
         Reason::Barred => StatusCode::UNPROCESSABLE_ENTITY,
@@ -530,6 +531,7 @@
         Reason::Lost => "the backend server lost the request while it ran",
         Reason::RetriesSpent => "the request has used up its allowed attempts",
         Reason::Barred => "the request crashed the backend servers that ran it",
+        Reason::PartBarred => "a part of the prompt crashes the backend servers that run it",
         Reason::Diverged => "no further attempt could continue the answer with the same tokens",
         Reason::Cancelled => "the caller disconnected",
         Reason::ServerError => "the backend server reported an error",
--- a/crates/suspect/src/lib.rs
+++ b/crates/suspect/src/lib.rs
@@ -36,6 +36,7 @@
 use wire::gossip::STRIKES_MAX;
 use wire::gossip::Strike;
 
+pub mod parts;
 pub mod sketch;
 
 /// Default number of distinct servers whose crashes bar a request.
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -9,12 +9,16 @@
 use crate::Fingerprint;
 use crate::InstanceId;
 use crate::Name;
+use crate::PartId;
 use crate::Version;
 
 /// Maximum number of rumours in one frame.
 pub const RUMOURS_MAX: usize = 6;
 /// Maximum number of strikes in one frame.
 pub const STRIKES_MAX: usize = 6;
+/// Maximum number of findings about parts of prompts in one frame of gossip, which then fits into a
+/// datagram.
+pub const PART_FINDINGS_MAX: usize = 32;
 
 /// Facts that are piggybacked on probes and their acknowledgements.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -84,6 +88,31 @@
     pub age_s: u32,
 }
 
+/// What an instance has found about a part of prompts.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PartFinding {
+    /// The part.
+    pub part: PartId,
+    /// Time since then, in milliseconds.
+    pub age_ms: u32,
+    /// What was found.
+    pub evidence: Evidence,
+}
+
+/// Evidence on whether a part of prompts crashes backend servers.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Evidence {
+    /// A server crashed while a request with the part was running there in its opening.
+    Crash {
+        /// Hash of the server's name and boot id.
+        server: u64,
+        /// Fingerprint of the request.
+        request: Fingerprint,
+    },
+    /// A run of a request with the part got past its opening.
+    Sound,
+}
+
 /// A backend server that announced its shutdown.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Leaving {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -256,6 +256,11 @@
         /// The part of the configuration's JSON, compressed by DEFLATE (RFC 1951).
         bytes: Vec<u8>,
     },
+    /// Reports findings about parts of prompts.
+    PartFindings {
+        /// The findings.
+        findings: Vec<gossip::PartFinding>,
+    },
 }
 
 /// Error of decoding or checking a frame.
