Tell a bad part from its company in storms and on both sides of a partition

Parts that were sound lately are put to account for crashes last. While the next crash would bar a part that was not sound lately, an instance begins one run with it at a time, and a request that crashed with it waits a second.

--- a/crates/core/src/lifecycle.rs
+++ b/crates/core/src/lifecycle.rs
@@ -65,6 +65,9 @@
 /// Pause before a suspect request is retried, so that the strikes of the same crash have reached
 /// all instances.
 const SUSPECT_RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// The same for a request whose prompt contains a part that the next crash would bar. Other runs with
+/// that part end in this time, in a crash or in output.
+const ACCUSED_RETRY_PAUSE: Duration = Duration::from_millis(1_000);
 
 impl Instance {
     /// Accepts a caller's request: creates its job and claims its idempotency key or places it.
@@ -559,10 +562,10 @@
         } else if self.suspects.status(self.now, fingerprint) == Status::Barred {
             self.end_barred(id);
         } else {
-            let pause = if crashed {
-                SUSPECT_RETRY_PAUSE
-            } else {
-                Duration::ZERO
+            let pause = match crashed {
+                true if self.has_accused_part(id) => ACCUSED_RETRY_PAUSE,
+                true => SUSPECT_RETRY_PAUSE,
+                false => Duration::ZERO,
             };
             self.wait_for_retry(id, pause);
         }
--- a/crates/core/src/parts.rs
+++ b/crates/core/src/parts.rs
@@ -213,6 +213,29 @@
         true
     }
 
+    /// Returns whether a request has to wait because its prompt contains a part that the next crash
+    /// would bar, and another run with that part is in its opening here.
+    pub(crate) fn waits_for_opening(&self, id: RequestId) -> bool {
+        if !self.has_accused_part(id) {
+            return false;
+        }
+        let table = &self.suspect_parts.table;
+        let parts = &self.jobs[&id].request.parts;
+        let shares_accused = |part: &PartId| parts.contains(part) && table.is_accused(*part);
+        self.jobs.values().any(|other| {
+            let running = other.running();
+            running.is_some_and(|running| is_opening(running.generated))
+                && other.request.parts.iter().any(shares_accused)
+        })
+    }
+
+    /// Returns whether a request's prompt contains a part that the next crash would bar.
+    pub(crate) fn has_accused_part(&self, id: RequestId) -> bool {
+        let table = &self.suspect_parts.table;
+        let job = self.jobs.get(&id);
+        job.is_some_and(|job| job.request.parts.iter().any(|part| table.is_accused(*part)))
+    }
+
     /// Returns whether a request is the one on trial for a part, and makes it so if there is none
     /// and this instance runs the trials of the part.
     fn take_trial(&mut self, part: PartId, id: RequestId) -> bool {
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -480,7 +480,7 @@
             return;
         }
         let age = age + Duration::from_millis(u64::from(grant.age_ms));
-        if age < GRANT_AGE_MAX {
+        if age < GRANT_AGE_MAX && !self.waits_for_opening(id) {
             // The other reservation is withdrawn only once this grant has been dispatched.
             let other = self.other_reservation(id, kind);
             if self.dispatch(id, &reservation.data_centre, grant) {
--- a/crates/suspect/src/parts.rs
+++ b/crates/suspect/src/parts.rs
@@ -32,7 +32,7 @@
 /// crashes its servers is barred by itself.
 const REQUESTS_MIN: usize = 2;
 /// Crashes within this time count as one. The failure of a rack or a link ends many runs at once.
-const EPISODE_TIME: Duration = Duration::from_millis(200);
+const EPISODE_TIME: Duration = Duration::from_millis(100);
 /// Duration of a bar after the last of [`CRASHES_MIN`] crashes.
 const BAR_TIME: Duration = Duration::from_secs(30);
 /// Number of further crashes, on trial or before the bar was known everywhere, that double its
@@ -202,6 +202,13 @@
         }
     }
 
+    /// Returns whether one more crash would bar a part that was not sound lately.
+    pub fn is_accused(&self, part: PartId) -> bool {
+        self.parts.get(&part).is_some_and(|record| {
+            record.sound_at.is_none() && record.crashes.len() >= CRASHES_MIN - 1
+        })
+    }
+
     /// Returns the changes of verdicts since the last call.
     pub fn take_changes(&mut self) -> Vec<Change> {
         std::mem::take(&mut self.changes)
@@ -269,9 +276,9 @@
         refutes
     }
 
-    /// Computes the verdicts from the evidence. The part with the most crashes is barred first, and
-    /// these crashes count no more against the parts that were present, until the crashes that are
-    /// left bar no further part.
+    /// Computes the verdicts from the evidence. The part with the most crashes is barred first, of those
+    /// that were not sound lately if there are any, and these crashes count no more against the parts
+    /// that were present, until the crashes that are left bar no further part.
     fn judge(&mut self, now: Time) {
         let mut cases: Vec<Case> = self
             .parts
@@ -293,10 +300,10 @@
                 .enumerate()
                 .filter_map(|(index, case)| {
                     let (count, until) = case.verdict(&explained)?;
-                    Some((count, !case.was_sound, case.part, index, until))
+                    Some((!case.was_sound, count, case.part, index, until))
                 })
                 .max();
-            let Some((count, _, part, index, until)) = strongest else {
+            let Some((_, count, part, index, until)) = strongest else {
                 break;
             };
             let case = cases.swap_remove(index);
