Don't take an empty response that ends with its connection for a complete one

A caller got 200 with an empty body from a server that had crashed after the head of a response with neither a length nor chunks: the end of the connection is the end of such a response, and nothing is what it had sent. It counts as lost now, for streams before their first event and for calls without a body, so it is run again where that is allowed and a 502 otherwise. It would also have counted as a sound run of a prompt's parts.

stream_that_ends_before_its_first_event_is_not_complete and call_that_ends_before_its_body_is_not_complete failed before (200 in place of 502).

--- a/crates/exchange/src/relay/response.rs
+++ b/crates/exchange/src/relay/response.rs
@@ -7,6 +7,7 @@
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
+use hyper::header::TRANSFER_ENCODING;
 use hyper::http::response;
 
 use crate::codec::end_to_end_headers;
@@ -24,6 +25,9 @@
 pub(super) struct ResponseHead {
     pub(super) status: StatusCode,
     pub(super) headers: HeaderMap,
+    /// Whether the response has neither a length nor chunks, and ends with its connection. If it has
+    /// no content, it can't be told from that of a server that crashed before it wrote any.
+    is_close_delimited: bool,
 }
 
 impl ResponseHead {
@@ -31,6 +35,8 @@
         ResponseHead {
             status: parts.status,
             headers: end_to_end_headers(&parts.headers),
+            is_close_delimited: !parts.headers.contains_key(TRANSFER_ENCODING)
+                && !parts.headers.contains_key(CONTENT_LENGTH),
         }
     }
 
@@ -124,6 +130,7 @@
             stream.first = Some(event);
             AttemptResult::EventStream(head, stream)
         }
+        StreamItem::End if head.is_close_delimited => AttemptResult::Lost,
         StreamItem::End => AttemptResult::Complete(head, Bytes::new()),
         StreamItem::Truncated => AttemptResult::Lost,
     }
@@ -165,6 +172,8 @@
     let bytes = buffer.freeze();
     if is_error {
         AttemptResult::ServerError(head, bytes)
+    } else if bytes.is_empty() && head.is_close_delimited && head.status != StatusCode::NO_CONTENT {
+        AttemptResult::Lost
     } else {
         AttemptResult::Complete(head, bytes)
     }
