--- a/crates/core/src/lifecycle.rs
+++ b/crates/core/src/lifecycle.rs
@@ -257,6 +257,10 @@
             job.record_dispatch();
         }
         let hard_deadline = job.hard_deadline;
+        let list = self.list_position();
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return false;
+        };
         job.phase = Phase::Running(Running {
             attempt: grant.attempt,
             server: grant.server.clone(),
@@ -287,6 +291,7 @@
             rerun,
             copy: grant.replica.clone(),
             resume_from,
+            list,
         }));
         self.check_invariant(eligible, Violation::WorkAfterWithdrawal);
         self.record_started(id);
--- a/crates/core/src/listing.rs
+++ b/crates/core/src/listing.rs
@@ -20,6 +20,7 @@
 use wire::server_list::ServerListUpdate;
 
 use crate::instance::Instance;
+use crate::message::ListPosition;
 use crate::message::ListedServer;
 
 /// Key by which the instance that reads the store for its data centre is chosen.
@@ -49,6 +50,8 @@
     last_frame: Time,
     /// When the list was last read or confirmed by a frame. `None` before the first time.
     last_update: Option<Time>,
+    /// The instance that read the list then.
+    reader: InstanceId,
     /// When each leaving server was first listed as leaving.
     leaving_since: BTreeMap<Name, Time>,
     /// The servers that were removed lately, with their boot and the time of their removal.
@@ -130,6 +133,16 @@
         self.now.saturating_sub(self.list_state.last_frame) > ISOLATION_TIME
     }
 
+    /// Returns how current the list is.
+    pub(crate) fn list_position(&self) -> ListPosition {
+        let last_update = self.list_state.last_update.unwrap_or(self.now);
+        ListPosition {
+            revision: self.list_state.revision,
+            age: self.now.saturating_sub(last_update),
+            reader: self.instance_name(self.list_state.reader),
+        }
+    }
+
     /// Returns the servers of the current list.
     pub fn servers(&self) -> impl Iterator<Item = &ListedServer> {
         self.servers.values()
@@ -172,7 +185,7 @@
             config_version: self.config.follower.version(),
             config_digest: self.config.digest(),
         };
-        let is_restored = self.record_list_update(list.era, list.revision);
+        let is_restored = self.record_list_update(self.id(), list.era, list.revision);
         if is_restored
             || !update.servers.is_empty()
             || !update.removed.is_empty()
@@ -188,7 +201,8 @@
 
     /// Records that the list is current as of a revision. Returns whether the store was restored
     /// from an older copy since the revision before.
-    fn record_list_update(&mut self, era: Era, revision: Revision) -> bool {
+    fn record_list_update(&mut self, reader: InstanceId, era: Era, revision: Revision) -> bool {
+        self.list_state.reader = reader;
         let known = self.list_state.position();
         (self.list_state.era, self.list_state.revision) = known.max((era, revision));
         let is_first = self.list_state.last_update.is_none();
@@ -263,7 +277,7 @@
         for name in update.removed {
             servers.remove(&name);
         }
-        let is_restored = self.record_list_update(update.era, update.revision);
+        let is_restored = self.record_list_update(from, update.era, update.revision);
         if has_changes && (servers != self.servers || !self.has_server_list) {
             self.install_servers(servers);
         }
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -301,6 +301,19 @@
     pub copy: Option<Endpoint>,
     /// The copy on this server from which the generation resumes, if any.
     pub resume_from: Option<Replica>,
+    /// The list of servers by which the server was chosen, for the log.
+    pub list: ListPosition,
+}
+
+/// How current the list of servers is at an instance.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ListPosition {
+    /// Revision of the store as of which the list is current.
+    pub revision: u64,
+    /// Time since the list was read here, or since another instance confirmed it.
+    pub age: Duration,
+    /// Name of the instance that read it.
+    pub reader: Name,
 }
 
 /// A copy of a generation's KV memory on another server.
--- a/crates/exchange/src/relay.rs
+++ b/crates/exchange/src/relay.rs
@@ -309,10 +309,10 @@
                             return self.respond_complete(&dispatch, head, bytes);
                         }
                         AttemptResult::Partial(head, prefix, response) => {
-                            return self.start_streaming(dispatch, head, Some(prefix), response);
+                            return self.start_streaming(*dispatch, head, Some(prefix), response);
                         }
                         AttemptResult::EventStream(head, response) => {
-                            return self.start_streaming(dispatch, head, None, response);
+                            return self.start_streaming(*dispatch, head, None, response);
                         }
                         other => self.report_attempt(&dispatch, other).await,
                     }
@@ -560,7 +560,10 @@
             copy = copy,
             resumes = dispatch.resume_from.is_some(),
             after = self.progress.last_event_id.unwrap_or(0),
-            waited_ms = millis(now - self.arrived_at);
+            waited_ms = millis(now - self.arrived_at),
+            list = dispatch.list.revision,
+            list_ms = millis(dispatch.list.age),
+            list_from = dispatch.list.reader.as_str();
             "relay: Sent."
         );
     }
--- a/crates/exchange/src/relay/streaming.rs
+++ b/crates/exchange/src/relay/streaming.rs
@@ -149,7 +149,7 @@
                             self.replica_handle = None;
                         }
                         stream = self.resume(&next, &caller).await;
-                        dispatch = next;
+                        dispatch = *next;
                         progressed_at = Instant::now();
                         repeated_bytes = 0;
                     }
--- a/crates/gateway/src/decider.rs
+++ b/crates/gateway/src/decider.rs
@@ -43,7 +43,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum RelayCommand {
     /// Starts an attempt.
-    Dispatch(Dispatch),
+    Dispatch(Box<Dispatch>),
     /// Cancels an attempt.
     Cancel(AttemptId),
     /// Orders the server that runs an attempt to copy the generation's KV memory to the endpoint.
@@ -201,7 +201,7 @@
                 let request = dispatch.request;
                 wiring
                     .relays
-                    .send_command(request, RelayCommand::Dispatch(dispatch));
+                    .send_command(request, RelayCommand::Dispatch(Box::new(dispatch)));
             }
             Output::Cancel { request, attempt } => {
                 wiring
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -201,7 +201,7 @@
 
     async fn on_command(&mut self, command: RelayCommand) {
         match command {
-            RelayCommand::Dispatch(dispatch) => self.dispatch(dispatch).await,
+            RelayCommand::Dispatch(dispatch) => self.dispatch(*dispatch).await,
             RelayCommand::Cancel(attempt) => self.cancel(attempt),
             // Engines on this interface make no replicas of a generation's KV memory: a lost
             // generation is run again, and its tokens are compared with those already delivered.
--- a/crates/soak/src/simulation.rs
+++ b/crates/soak/src/simulation.rs
@@ -205,7 +205,7 @@
     DeliverDispatch {
         node: usize,
         incarnation: u64,
-        dispatch: Dispatch,
+        dispatch: Box<Dispatch>,
     },
     DeliverEmission {
         node: usize,
--- a/crates/soak/src/simulation/node.rs
+++ b/crates/soak/src/simulation/node.rs
@@ -75,7 +75,7 @@
                     Action::DeliverDispatch {
                         node: index,
                         incarnation,
-                        dispatch,
+                        dispatch: Box::new(dispatch),
                     },
                 );
             }
