Add a failing test of the list of servers while its first readers are refused

Instances take over the reading of the list by the silence since the last frame of any instance, so the frame of the one that has taken over makes it stop again, and the wait begins anew: with four refused instances before it the list of a data centre is renewed each 3 s or more, and DRAIN allows 2 to 4 s.

--- a/crates/core/tests/listing.rs
+++ b/crates/core/tests/listing.rs
@@ -25,6 +25,8 @@
     revision: u64,
     /// Number of reads of the list by each instance.
     reads: Vec<u32>,
+    /// Number of reads of the list that each instance has tried.
+    calls: Vec<u32>,
 }
 
 fn server(name: &str) -> Server {
@@ -60,6 +62,7 @@
             .collect();
         let mut fleet = Fleet {
             reads: vec![0; instances.len()],
+            calls: vec![0; instances.len()],
             instances,
             now: Duration::from_secs(1),
             disconnected: None,
@@ -103,9 +106,9 @@
         }
     }
 
-    /// Advances the time. Each instance that should read the list reads it every 400 ms, except the
-    /// one that the store refuses.
-    fn advance(&mut self, time: Duration, servers: &[Server], refused_reader: Option<usize>) {
+    /// Advances the time. Each instance that should read the list reads it every 400 ms, except those
+    /// that the store refuses.
+    fn advance(&mut self, time: Duration, servers: &[Server], refused: &[usize]) {
         let end = self.now + time;
         while self.now < end {
             self.now += STEP;
@@ -116,8 +119,11 @@
                 continue;
             }
             for index in 0..self.instances.len() {
-                if self.instances[index].should_read_server_list() && refused_reader != Some(index)
-                {
+                if !self.instances[index].should_read_server_list() {
+                    continue;
+                }
+                self.calls[index] += 1;
+                if !refused.contains(&index) {
                     self.reads[index] += 1;
                     self.revision += 1;
                     let list = ServerListUpdate {
@@ -152,15 +158,15 @@
 fn one_instance_reads_the_list_and_all_instances_receive_it() {
     let mut fleet = Fleet::new(4);
     let mut servers = vec![server("a"), server("b")];
-    fleet.advance(Duration::from_secs(4), &servers, None);
+    fleet.advance(Duration::from_secs(4), &servers, &[]);
     fleet.reads.fill(0);
-    fleet.advance(Duration::from_secs(4), &servers, None);
+    fleet.advance(Duration::from_secs(4), &servers, &[]);
     let readers = fleet.reads.iter().filter(|reads| **reads > 0).count();
     assert_eq!(readers, 1, "{:?}", fleet.reads);
 
     servers[0].leaving = true;
     servers.push(server("c"));
-    fleet.advance(Duration::from_secs(1), &servers, None);
+    fleet.advance(Duration::from_secs(1), &servers, &[]);
     assert!(
         fleet
             .server_lists()
@@ -170,7 +176,7 @@
         fleet.server_lists()
     );
     servers.remove(1);
-    fleet.advance(Duration::from_secs(1), &servers, None);
+    fleet.advance(Duration::from_secs(1), &servers, &[]);
     assert!(
         fleet.server_lists().iter().all(|list| *list == ["a-", "c"]),
         "{:?}",
@@ -182,12 +188,13 @@
 fn reader_that_the_store_refuses_is_replaced_and_receives_the_list() {
     let mut fleet = Fleet::new(3);
     let mut servers = vec![server("a")];
-    fleet.advance(Duration::from_secs(4), &servers, None);
+    fleet.advance(Duration::from_secs(4), &servers, &[]);
     fleet.reads.fill(0);
-    fleet.advance(Duration::from_secs(1), &servers, None);
+    fleet.advance(Duration::from_secs(1), &servers, &[]);
     let reader = fleet.reads.iter().position(|reads| *reads > 0);
+    let reader = reader.expect("one instance reads the list");
     servers[0].leaving = true;
-    fleet.advance(Duration::from_secs(2), &servers, reader);
+    fleet.advance(Duration::from_secs(2), &servers, &[reader]);
     assert!(
         fleet.server_lists().iter().all(|list| *list == ["a-"]),
         "{:?}",
@@ -199,14 +206,76 @@
 fn instance_that_missed_changes_fetches_the_whole_list() {
     let mut fleet = Fleet::new(3);
     let mut servers = vec![server("a"), server("b")];
-    fleet.advance(Duration::from_secs(4), &servers, None);
+    fleet.advance(Duration::from_secs(4), &servers, &[]);
     fleet.disconnected = Some(2);
     servers.remove(0);
     servers.push(server("c"));
     // The disconnected instance, which the store refuses too, keeps its last list.
-    fleet.advance(Duration::from_secs(1), &servers, Some(2));
+    fleet.advance(Duration::from_secs(1), &servers, &[2]);
     assert_eq!(fleet.server_lists()[2], ["a", "b"]);
     fleet.disconnected = None;
-    fleet.advance(Duration::from_secs(3), &servers, Some(2));
+    fleet.advance(Duration::from_secs(3), &servers, &[2]);
     assert_eq!(fleet.server_lists()[2], ["b", "c"]);
 }
+
+/// Number of instances of a data centre of the largest deployment.
+const LARGE: u64 = 59;
+/// Least time in which a leaving server must be known to all instances, over all deployments.
+const LEAVING_KNOWN_MAX: Duration = Duration::from_secs(2);
+
+/// Makes the store refuse the instances that are the first to read the list. Returns them.
+fn refuse_first_readers(fleet: &mut Fleet, servers: &[Server], count: usize) -> Vec<usize> {
+    let mut refused = Vec::new();
+    while refused.len() < count {
+        fleet.reads.fill(0);
+        fleet.advance(Duration::from_secs(5), servers, &refused);
+        let reader = fleet.reads.iter().position(|reads| *reads > 0);
+        refused.push(reader.expect("an instance reads the list"));
+    }
+    refused
+}
+
+#[test]
+fn list_stays_current_while_the_first_readers_are_refused() {
+    let mut fleet = Fleet::new(LARGE);
+    let mut servers = vec![server("first")];
+    fleet.advance(Duration::from_secs(4), &servers, &[]);
+    let refused = refuse_first_readers(&mut fleet, &servers, 4);
+    fleet.advance(Duration::from_secs(5), &servers, &refused);
+    for number in 0..20 {
+        // Servers leave at different times between two reads.
+        fleet.advance(Duration::from_millis(350), &servers, &refused);
+        servers.push(server(&format!("server-{number}")));
+        fleet.advance(Duration::from_secs(3), &servers, &refused);
+        servers.last_mut().expect("there is one").leaving = true;
+        fleet.advance(LEAVING_KNOWN_MAX, &servers, &refused);
+        let mark = format!("server-{number}-");
+        let lists = fleet.server_lists();
+        let known = lists.iter().filter(|list| list.contains(&mark)).count();
+        assert_eq!(known, lists.len(), "server {number}");
+    }
+}
+
+#[test]
+fn few_instances_replace_a_reader() {
+    let mut fleet = Fleet::new(LARGE);
+    let servers = vec![server("a")];
+    fleet.advance(Duration::from_secs(4), &servers, &[]);
+    let refused = refuse_first_readers(&mut fleet, &servers, 1);
+    fleet.calls.fill(0);
+    fleet.advance(Duration::from_secs(10), &servers, &refused);
+    let callers = fleet.calls.iter().filter(|calls| **calls > 0).count();
+    assert!(callers <= 4, "{:?}", fleet.calls);
+}
+
+#[test]
+fn outage_of_the_store_does_not_make_all_instances_call_it() {
+    let mut fleet = Fleet::new(LARGE);
+    let servers = vec![server("a")];
+    fleet.advance(Duration::from_secs(4), &servers, &[]);
+    let everyone: Vec<usize> = (0..fleet.instances.len()).collect();
+    fleet.calls.fill(0);
+    fleet.advance(Duration::from_secs(8), &servers, &everyone);
+    let callers = fleet.calls.iter().filter(|calls| **calls > 0).count();
+    assert!(callers <= 15, "{callers} instances");
+}
