Keep reading the list of servers while those before in the order are silent

Callers' requests could reach a leaving server later than the bound: if several of the instances that come first in a data centre's order are cut off, refused or gone, its list was renewed only each few seconds.

Cause: silence was counted from the last frame of any instance, so the frame of the one that had taken over ended its own turn, and each renewal waited for 0.9 s and 0.7 s for each silent instance before it. The number of instances that take over doubles with each period up to eight, so seven that are cut off cost 2.3 s once in place of 5.1 s each time; beyond eight it grows by one, as before.

list_stays_current_while_the_first_readers_are_refused failed before (no instance of 59 knew after 2 s). few_instances_replace_a_reader and the bound on callers in an outage of the store passed before and pass.

--- a/crates/core/src/listing.rs
+++ b/crates/core/src/listing.rs
@@ -4,8 +4,10 @@
 //! reads the list and sends the changes to the other instances of its data centre. Each frame names
 //! the revision from which its changes are counted. A receiver that has missed a frame fetches the
 //! whole list. A frame without changes serves as a heartbeat: an instance that receives none for
-//! [`SILENCE_MAX`] reads the list itself, so a reader that stops, is disconnected or is refused by
-//! the store is replaced within about a second.
+//! [`SILENCE_MAX`] from those before it in the order of readers reads the list itself, so a reader
+//! that stops, is disconnected or is refused by the store is replaced within about a second. The one
+//! that has taken over goes on until an instance before it sends a frame again: its own frames keep
+//! only those after it from reading.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -28,16 +30,20 @@
 /// Time without a frame of any instance after which this instance counts as cut off from the others
 /// and reads the list itself.
 const ISOLATION_TIME: Duration = Duration::from_millis(1_200);
-/// Number of instances of a data centre that read the list.
-const READERS: usize = 1;
 /// Time without a frame of the reader after which an instance reads the list itself. A reader reads
 /// the list several times a second.
 const SILENCE_MAX: Duration = Duration::from_millis(900);
 /// Time for which a removed server is remembered. A store may be restored from a copy some seconds
 /// old, in which the server is still listed.
 const REMOVED_RETENTION: Duration = Duration::from_secs(60);
-/// Time after which one more instance starts to read the list while no frame arrives.
+/// Time after which further instances start to read the list while no frame arrives.
 const TAKEOVER_PERIOD: Duration = Duration::from_millis(700);
+/// Position in the order of readers up to which the number of instances that read the list doubles
+/// with each period. After that it grows by one, so that an outage does not make all instances call
+/// the store.
+const DOUBLING_POSITIONS: u32 = 8;
+/// Time for which the last frame of a reader is remembered.
+const FRAME_RETENTION: Duration = Duration::from_secs(30);
 
 /// State of following the server list.
 #[derive(Debug, Default)]
@@ -50,6 +56,10 @@
     last_frame: Time,
     /// When the list was last read or confirmed by a frame. `None` before the first time.
     last_update: Option<Time>,
+    /// When the list was first read or received.
+    first_update: Option<Time>,
+    /// When each other instance last sent a frame with the list that it had read.
+    frames: BTreeMap<InstanceId, Time>,
     /// The instance that read the list then.
     reader: InstanceId,
     /// When each leaving server was first listed as leaving.
@@ -105,26 +115,49 @@
     }
 }
 
+/// Returns the periods of silence after which the instance reads the list that has this many
+/// instances before it in the order of readers, at least one.
+fn takeover_periods(before: usize) -> u32 {
+    let position = u32::try_from(before).unwrap_or(u32::MAX);
+    match position < DOUBLING_POSITIONS {
+        true => position.ilog2(),
+        false => position - DOUBLING_POSITIONS + DOUBLING_POSITIONS.ilog2() + 1,
+    }
+}
+
 impl Instance {
-    /// Returns whether this instance should read the server list in the store.
+    /// Returns whether this instance should read the server list in the store: none of the instances
+    /// before it in the order of readers has sent a list lately.
     pub fn should_read_server_list(&self) -> bool {
-        let Some(last_update) = self.list_state.last_update else {
+        let (Some(last_update), Some(first_update)) =
+            (self.list_state.last_update, self.list_state.first_update)
+        else {
             return true;
         };
-        let silence = self.now.saturating_sub(last_update);
-        if self.is_isolated() && silence > SILENCE_MAX {
+        if self.is_isolated() && self.now.saturating_sub(last_update) > SILENCE_MAX {
             return true;
         }
-        // One more instance takes over with each period, so that an outage does not make all
-        // instances call the store at once.
-        let takeovers =
-            silence.saturating_sub(SILENCE_MAX).as_millis() / TAKEOVER_PERIOD.as_millis();
-        let extra_readers = usize::try_from(takeovers).unwrap_or(usize::MAX);
-        let readers = match silence > SILENCE_MAX {
-            true => READERS.saturating_add(1).saturating_add(extra_readers),
-            false => READERS,
-        };
-        self.members.is_top_ranked(READER_KEY, readers)
+        let before = self.readers_before();
+        if before.is_empty() {
+            return true;
+        }
+        let frames = &self.list_state.frames;
+        let last_frame = before.iter().filter_map(|id| frames.get(id).copied()).max();
+        let silence = self
+            .now
+            .saturating_sub(last_frame.unwrap_or(first_update).max(first_update));
+        silence > SILENCE_MAX + TAKEOVER_PERIOD * takeover_periods(before.len())
+    }
+
+    /// Returns the instances that read the list for this data centre rather than this one.
+    fn readers_before(&self) -> Vec<InstanceId> {
+        let own = self.own_data_centre();
+        let live: Vec<InstanceId> = self.members.live(&own).collect();
+        let count = live.len();
+        let mut order = member::rendezvous::order(READER_KEY, live.into_iter(), count);
+        let position = order.iter().position(|id| *id == self.id());
+        order.truncate(position.unwrap_or(count));
+        order
     }
 
     /// Returns whether no other instance has been heard of for [`ISOLATION_TIME`]. What this instance
@@ -207,6 +240,7 @@
         (self.list_state.era, self.list_state.revision) = known.max((era, revision));
         let is_first = self.list_state.last_update.is_none();
         self.list_state.last_update = Some(self.now);
+        self.list_state.first_update.get_or_insert(self.now);
         !is_first && era > known.0
     }
 
@@ -258,6 +292,10 @@
         if (update.era, update.revision) < self.list_state.position() {
             return;
         }
+        let now = self.now;
+        let frames = &mut self.list_state.frames;
+        frames.retain(|_, at| now.saturating_sub(*at) < FRAME_RETENTION);
+        frames.insert(from, now);
         if update.base_revision > self.list_state.revision
             || (update.base_revision > 0 && update.era > known_era)
             || (update.base_revision > 0 && !self.has_server_list)
