--- a/crates/core/src/transfer.rs
+++ b/crates/core/src/transfer.rs
@@ -32,6 +32,8 @@
 /// Greatest number of times that [`FETCH_PERIOD_MIN`] is doubled while no newer configuration
 /// arrives.
 const FETCH_DOUBLINGS_MAX: u32 = 4;
+/// Number of requests without progress after which a transfer is not continued but begun anew.
+const RESUMES_MAX: u32 = 6;
 /// Size of a part in bytes. It takes 26 ms over a link of 10 Mbit/s, so other frames on that link
 /// are not held up for long.
 const PART_BYTES: usize = 32 * 1_024;
@@ -131,6 +133,10 @@
         let jitter = backoff.mul_f64(self.rng.f64() * 0.3);
         transfers.next_fetch = self.now + backoff + jitter;
         transfers.unanswered_fetches += 1;
+        if transfers.unanswered_fetches > RESUMES_MAX {
+            // A release that encodes the configuration differently can't continue it.
+            transfers.incoming = None;
+        }
         let stalled = transfers.incoming.as_ref();
         let resumed = stalled.map(|incoming| (incoming.version, incoming.bytes.len()));
         let (sender, body) = match resumed {
--- a/crates/core/tests/driver/mod.rs
+++ b/crates/core/tests/driver/mod.rs
@@ -15,6 +15,7 @@
 use wigeon_core::Event;
 use wigeon_core::Input;
 use wigeon_core::Instance;
+use wigeon_core::ListEntry;
 use wigeon_core::Outcome;
 use wigeon_core::Output;
 use wigeon_core::Request;
@@ -42,6 +43,21 @@
     revision: u64,
 }
 
+/// Returns the platform's list of instances with the given settings.
+pub fn listed_instances(settings: impl Iterator<Item = Settings>) -> Vec<ListEntry> {
+    settings
+        .map(|settings| {
+            let own = settings.entry;
+            ListEntry::Instance(member::ListedInstance {
+                name: own.name,
+                data_centre: own.data_centre,
+                peers: own.peers,
+                leaving: false,
+            })
+        })
+        .collect()
+}
+
 /// Returns a streaming route whose requests must not run twice.
 pub fn streaming_route() -> Route {
     Route {
--- a/crates/suspect/src/parts.rs
+++ b/crates/suspect/src/parts.rs
@@ -283,6 +283,7 @@
         let mut cases: Vec<Case> = self
             .parts
             .iter()
+            .filter(|(_, record)| !record.crashes.is_empty())
             .map(|(part, record)| Case {
                 part: *part,
                 crashes: record.unrefuted(),
