Tell a silent stream from a broken one in the log

`relay: Attempt failed.` said `broken` for a connection that ended and for one without a new event, and a denied reservation at a copy's server was logged without its reason. The hypotheses on silent servers could not be told apart by these lines. No decision changes.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -558,7 +558,10 @@
             self.log(
                 "seek",
                 true,
-                format!("Request {id}: the reservation on the server of its copy was denied."),
+                format!(
+                    "Request {id}: {} denied the reservation on the server of its copy ({denial:?}).",
+                    reservation.data_centre
+                ),
             );
             self.end(id, Reason::Lost, None);
             return;
--- a/crates/exchange/src/relay/response.rs
+++ b/crates/exchange/src/relay/response.rs
@@ -85,6 +85,8 @@
     End,
     /// The connection was lost, the stream ended within an event, or an event is too long.
     Truncated,
+    /// No new event has arrived for some time.
+    Silent,
 }
 
 impl ResponseStream {
@@ -132,7 +134,7 @@
         }
         StreamItem::End if head.is_close_delimited => AttemptResult::Lost,
         StreamItem::End => AttemptResult::Complete(head, Bytes::new()),
-        StreamItem::Truncated => AttemptResult::Lost,
+        StreamItem::Truncated | StreamItem::Silent => AttemptResult::Lost,
     }
 }
 
--- a/crates/exchange/src/relay/streaming.rs
+++ b/crates/exchange/src/relay/streaming.rs
@@ -199,11 +199,15 @@
                             self.finish("answered", "complete", StatusCode::OK);
                             return;
                         }
-                        StreamItem::Truncated => {
+                        StreamItem::Truncated | StreamItem::Silent => {
+                            let result = match item {
+                                StreamItem::Silent => "silent",
+                                _ => "broken",
+                            };
                             // Closes the connection before the report, so that the server has
                             // stopped the generation when the decider orders the next attempt.
                             stream = None;
-                            self.lose_stream(&dispatch, "broken").await;
+                            self.lose_stream(&dispatch, result).await;
                         }
                     }
                 }
@@ -306,7 +310,7 @@
 }
 
 /// Waits for the next part of the stream. Without a stream it waits forever, and a stream without a
-/// new event until `silent_at` counts as truncated.
+/// new event until `silent_at` counts as silent.
 async fn next_item(stream: &mut Option<ResponseStream>, silent_at: Option<Instant>) -> StreamItem {
     let Some(stream) = stream else {
         return std::future::pending().await;
@@ -314,7 +318,7 @@
     match silent_at {
         Some(silent_at) => match tokio::time::timeout_at(silent_at, stream.next()).await {
             Ok(item) => item,
-            Err(_) => StreamItem::Truncated,
+            Err(_) => StreamItem::Silent,
         },
         None => stream.next().await,
     }
