Keep a silent attempt open until another one has sent an event

The connection was aborted in the middle of a stream, or later requests alike were barred with 502.

Cause: silence was taken for a crash. A stream with a copy was closed after 0.7 s without an event and depended on the copy from then on; where that was denied, missing or refused, the request ended as lost. The loss was recorded as a crash under the request. Class of fault: a suspicion that is acted on as if it were knowledge, by a step that can't be taken back.

Ruled out by reading: the transport's own limits (3 s), changes of the configuration (they cancel no attempt), the idle check.

Now the relay reports `Silent` after 1.5 s and keeps reading. The decider tries the copy; the successor replaces the silent attempt with its first event, and the silent attempt goes on if it speaks first or if the successor is denied, refused, unreachable or lost. Silence counts as no crash. A copy that is denied to a lost attempt no longer ends a request that may run again.

--- a/crates/core/src/copies.rs
+++ b/crates/core/src/copies.rs
@@ -1,5 +1,7 @@
 //! Copies of running generations' KV memory: ordering them, and resuming from them.
 
+use std::time::Duration;
+
 use conf::Name;
 use wire::AttemptId;
 use wire::Body;
@@ -12,6 +14,7 @@
 use crate::job::Phase;
 use crate::message::Output;
 use crate::message::Replica;
+use crate::outcome::Reason;
 
 impl Instance {
     /// Passes the copies that a scheduler has chosen to the instances that run the attempts.
@@ -86,7 +89,9 @@
         let Some(data_centre) = data_centre else {
             return false;
         };
-        if let Some(attempt) = job.running().map(|running| running.attempt) {
+        // A silent attempt goes on if the copy can't be used.
+        let ended = job.running().filter(|_| job.silent.is_none());
+        if let Some(attempt) = ended.map(|running| running.attempt) {
             self.attempt_requests.remove(&attempt);
         }
         let Some(job) = self.jobs.get_mut(&id) else {
@@ -98,4 +103,22 @@
         self.reserve_at_copy(id, &data_centre);
         true
     }
+
+    /// Handles a generation that can't be resumed from its copy. If its own attempt is only silent,
+    /// that one goes on. Otherwise the generation is run again where that is allowed, or ends.
+    pub(crate) fn on_copy_unusable(&mut self, id: RequestId) {
+        if self.restore_silent(id) {
+            return;
+        }
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.resume_from = None;
+        let may_rerun = job.route.rerun || job.delivered() == 0;
+        if may_rerun && job.may_run_again() {
+            self.wait_for_retry(id, Duration::ZERO);
+        } else {
+            self.end(id, Reason::Lost, None);
+        }
+    }
 }
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -131,6 +131,8 @@
     pub attempts: u32,
     /// The copy of a lost generation's KV memory from which the next attempt resumes.
     pub resume_from: Option<Replica>,
+    /// The attempt whose server is silent, while another one is tried in its place.
+    pub silent: Option<Running>,
     /// Priority class for admission; zero is the most urgent.
     pub class: u8,
     /// Attempts that may have run, resumed ones not counted.
@@ -162,6 +164,7 @@
             last_unreachable: false,
             attempts: 0,
             resume_from: None,
+            silent: None,
             class,
             possible_runs: 0,
             delivered: 0,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -43,6 +43,7 @@
 //! - `reports`: reports of running attempts to the coordinators of their pools.
 //! - `claims`: claiming and settling idempotency keys.
 //! - `copies`: copies of running generations' KV memory, and resuming from them.
+//! - `silence`: attempts whose server is silent.
 //! - `local`: choosing a server without a coordinator, for lightly loaded plain services.
 //! - `listing`: the list of backend servers and its distribution within a data centre.
 //! - `notices`: what backend servers state about themselves in their responses.
@@ -72,6 +73,7 @@
 mod placement;
 mod reports;
 pub mod settings;
+mod silence;
 mod tables;
 mod transfer;
 
--- a/crates/core/src/lifecycle.rs
+++ b/crates/core/src/lifecycle.rs
@@ -204,7 +204,8 @@
 
     /// Ends a job whose hard deadline has passed.
     fn time_out(&mut self, id: RequestId) {
-        if self.jobs[&id].running().is_none() {
+        let job = &self.jobs[&id];
+        if job.running().is_none() && job.silent.is_none() {
             self.end_unplaced(id);
             return;
         }
@@ -362,14 +363,22 @@
         let Some(id) = self.attempt_requests.get(&attempt).copied() else {
             return;
         };
-        let is_current = self.jobs[&id]
-            .running()
-            .is_some_and(|r| r.attempt == attempt);
-        if !is_current {
+        let job = &self.jobs[&id];
+        let is_attempt = |running: &Running| running.attempt == attempt;
+        let is_current = job.running().is_some_and(is_attempt);
+        let is_silent = job.silent.as_ref().is_some_and(is_attempt);
+        let is_handled = match is_silent {
+            true => self.on_event_of_silent(id, &event),
+            false => is_current,
+        };
+        if !is_handled {
             return;
         }
         match event {
-            Event::FirstToken => self.on_first_token(id),
+            Event::FirstToken => {
+                self.replace_silent(id);
+                self.on_first_token(id);
+            }
             Event::Progress {
                 generated,
                 delivered,
@@ -385,6 +394,11 @@
             Event::Copied(replica) => self.on_copied(id, replica),
             Event::NotCopied => self.on_not_copied(id, attempt),
             Event::Lost { crashed, delivered } => self.on_lost(id, crashed, delivered),
+            Event::Silent { delivered } => {
+                self.record_delivered(id, delivered);
+                self.on_silent(id);
+            }
+            Event::Recovered => {}
             Event::Diverged { delivered } => {
                 self.record_delivered(id, delivered);
                 self.stop_running(id, End::Cancelled);
@@ -478,11 +492,7 @@
         if resumed {
             // Only the continuation did not run. The part before the resume point did, so the run
             // stays counted.
-            if job.may_run_again() {
-                self.wait_for_retry(id, Duration::ZERO);
-            } else {
-                self.end(id, Reason::Lost, None);
-            }
+            self.on_copy_unusable(id);
             return;
         }
         job.record_not_run();
@@ -508,6 +518,10 @@
         if let Some(server) = job.running().map(|running| running.server.clone()) {
             job.avoid(&server);
         }
+        if self.restore_silent(id) {
+            return;
+        }
+        let job = &self.jobs[&id];
         if job.may_run_again() {
             self.wait_for_retry(id, Duration::ZERO);
         } else {
@@ -558,7 +572,7 @@
                 }
             }
         }
-        if self.resume_from_copy(id) {
+        if self.restore_silent(id) || self.resume_from_copy(id) {
             return;
         }
         let job = &self.jobs[&id];
@@ -587,7 +601,7 @@
     }
 
     /// Schedules another attempt after a pause and the retry backoff.
-    fn wait_for_retry(&mut self, id: RequestId, pause: Duration) {
+    pub(crate) fn wait_for_retry(&mut self, id: RequestId, pause: Duration) {
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
@@ -685,6 +699,7 @@
             });
             self.record_ended(id, end);
         }
+        self.drop_silent(id, end);
         self.withdraw_all(id);
     }
 
@@ -738,6 +753,7 @@
     }
 
     fn remove(&mut self, id: RequestId) {
+        self.drop_silent(id, End::Cancelled);
         self.clear_timer(id);
         self.jobs.remove(&id);
         self.attempt_requests.retain(|_, request| *request != id);
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -87,6 +87,13 @@
         /// Tokens that the caller has received.
         delivered: u32,
     },
+    /// No token has arrived for some time, but the connection is open.
+    Silent {
+        /// Tokens that the caller has received.
+        delivered: u32,
+    },
+    /// A token has arrived after [`Event::Silent`].
+    Recovered,
     /// The relay can't continue: the output of a new attempt differs from what was delivered, or no
     /// new attempt may run.
     Diverged {
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -156,15 +156,14 @@
         self.send_reservation(id, attempt, data_centre, coordinator, false);
     }
 
-    /// Dispatches a job to the server that holds its copy although no place was granted, or ends it
-    /// if that fails.
+    /// Dispatches a job to the server that holds its copy although no place was granted.
     fn resume_without_grant(&mut self, id: RequestId) {
         self.withdraw_all(id);
         let Some(copy) = self.jobs[&id].resume_from.clone() else {
             return;
         };
         let Some(server) = self.servers.get(&copy.endpoint.server).cloned() else {
-            self.end(id, Reason::Lost, None);
+            self.on_copy_unusable(id);
             return;
         };
         self.dispatch_to(id, &server);
@@ -173,7 +172,7 @@
             .get(&id)
             .is_some_and(|job| job.running().is_none())
         {
-            self.end(id, Reason::Lost, None);
+            self.on_copy_unusable(id);
         }
     }
 
@@ -563,7 +562,7 @@
                     reservation.data_centre
                 ),
             );
-            self.end(id, Reason::Lost, None);
+            self.on_copy_unusable(id);
             return;
         }
         let text = format!(
--- a/crates/core/src/reports.rs
+++ b/crates/core/src/reports.rs
@@ -15,6 +15,7 @@
 
 use crate::coordinator::millis;
 use crate::instance::Instance;
+use crate::job::Running;
 use crate::settings::Policy;
 
 /// Time for which report items are collected into one report.
@@ -55,7 +56,8 @@
             attempt: running.attempt,
             generated: 0,
         };
-        self.queue_report_item(id, item);
+        let data_centre = running.data_centre.clone();
+        self.queue_report_item(id, &data_centre, item);
     }
 
     /// Queues a report item for the progress of a job's attempt.
@@ -64,40 +66,43 @@
             return;
         };
         let (attempt, generated) = (running.attempt, running.generated);
+        let data_centre = running.data_centre.clone();
         let started = generated == 1;
         if started || generated >= PROGRESS_REPORT_TOKENS {
-            self.queue_report_item(id, Item::Progress { attempt, generated });
+            let item = Item::Progress { attempt, generated };
+            self.queue_report_item(id, &data_centre, item);
         }
     }
 
     /// Queues a report item for the end of a job's attempt.
     pub(crate) fn record_ended(&mut self, id: RequestId, end: End) {
-        let Some(running) = self.jobs.get(&id).and_then(|job| job.running()) else {
-            return;
-        };
-        let first_token = running.first_token.unwrap_or_default();
+        let running = self.jobs.get(&id).and_then(|job| job.running());
+        if let Some(running) = running.cloned() {
+            self.record_attempt_ended(id, &running, end);
+        }
+    }
+
+    /// Queues a report item for the end of an attempt of a job.
+    pub(crate) fn record_attempt_ended(&mut self, id: RequestId, attempt: &Running, end: End) {
         let item = Item::Ended {
-            attempt: running.attempt,
+            attempt: attempt.attempt,
             end,
-            generated: running.generated,
-            first_token_ms: millis(first_token),
+            generated: attempt.generated,
+            first_token_ms: millis(attempt.first_token.unwrap_or_default()),
         };
-        self.queue_report_item(id, item);
+        self.queue_report_item(id, &attempt.data_centre, item);
     }
 
     /// Queues an item for the coordinator of a job's server. If this instance is the coordinator,
     /// the report is delivered at once.
-    fn queue_report_item(&mut self, id: RequestId, item: Item) {
+    fn queue_report_item(&mut self, id: RequestId, data_centre: &Name, item: Item) {
         if self.settings.policy != Policy::Coordinator || self.is_placed_locally(id) {
             return;
         }
         let Some(job) = self.jobs.get(&id) else {
             return;
         };
-        let Some(running) = job.running() else {
-            return;
-        };
-        let key = (running.data_centre.clone(), job.route.pool.clone());
+        let key = (data_centre.clone(), job.route.pool.clone());
         let Some(coordinator) = self.members.coordinator(&key.0, &key.1) else {
             return;
         };
--- /dev/null
+++ b/crates/core/src/silence.rs
@@ -0,0 +1,148 @@
+//! Attempts whose server is silent.
+//!
+//! Silence does not tell a crash from a pause: a sound server may send nothing for a second or
+//! longer and then go on, and an engine that preempts a generation does the same. An attempt that
+//! is silent is therefore not given up. The instance tries to go on from the copy of the
+//! generation's memory, and the silent attempt stays open until the other one has produced a
+//! token. If its own server speaks first, or the other attempt fails, it goes on as if nothing had
+//! happened. Silence never counts as a crash of the server under the request.
+
+use wire::RequestId;
+use wire::admission::End;
+
+use crate::instance::Instance;
+use crate::job::Job;
+use crate::job::Phase;
+use crate::job::Running;
+use crate::message::Event;
+use crate::message::Output;
+
+impl Instance {
+    /// Starts to go on from the copy of a silent attempt's memory, if there is one.
+    pub(crate) fn on_silent(&mut self, id: RequestId) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let Some(running) = job.running().cloned() else {
+            return;
+        };
+        if job.silent.is_some() || running.replica.is_none() {
+            return;
+        }
+        let text = format!(
+            "Request {id}: server {} is silent, trying its copy.",
+            running.server
+        );
+        job.silent = Some(running);
+        self.log("silence", false, text);
+        if !self.resume_from_copy(id) {
+            self.restore_silent(id);
+        }
+    }
+
+    /// Handles an event of a silent attempt while another attempt is tried in its place. Returns
+    /// whether the event is to be handled like that of any running attempt.
+    pub(crate) fn on_event_of_silent(&mut self, id: RequestId, event: &Event) -> bool {
+        match event {
+            Event::Recovered
+            | Event::FirstToken
+            | Event::Progress { .. }
+            | Event::Complete { .. } => {
+                self.resume_silent(id);
+                true
+            }
+            Event::Copied(replica) => {
+                let silent = self.jobs.get_mut(&id).and_then(|job| job.silent.as_mut());
+                if let Some(silent) = silent {
+                    silent.replica = Some(replica.clone());
+                }
+                false
+            }
+            Event::NotCopied | Event::Silent { .. } => false,
+            Event::Refused
+            | Event::Unreachable
+            | Event::Failed
+            | Event::Lost { .. }
+            | Event::Diverged { .. } => {
+                self.drop_silent(id, End::Crashed);
+                false
+            }
+        }
+    }
+
+    /// Gives up a silent attempt, since the attempt in its place has produced a token.
+    pub(crate) fn replace_silent(&mut self, id: RequestId) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let Some(silent) = job.silent.clone() else {
+            return;
+        };
+        job.avoid(&silent.server);
+        let successor = job.running().map(|running| running.server.clone());
+        let text = format!(
+            "Request {id} goes on at server {} in place of {}, which was silent.",
+            successor.unwrap_or_default(),
+            silent.server
+        );
+        self.log("silence", true, text);
+        self.health.record(self.now, &silent.server, false);
+        self.drop_silent(id, End::Cancelled);
+    }
+
+    /// Lets a silent attempt go on, since the attempt in its place has failed or was not possible.
+    /// Returns whether there is a silent attempt.
+    pub(crate) fn restore_silent(&mut self, id: RequestId) -> bool {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return false;
+        };
+        let Some(silent) = job.silent.take() else {
+            return false;
+        };
+        let replaced = job.running().map(|running| running.attempt);
+        let attempt = silent.attempt;
+        let was_tried = replaced.is_some_and(|replaced| replaced != attempt);
+        // A copy is used up, or known to be missing, once an attempt has been sent there.
+        let replica = silent.replica.clone().filter(|_| !was_tried);
+        job.resume_from = None;
+        job.phase = Phase::Running(Running { replica, ..silent });
+        let hard_deadline = job.hard_deadline;
+        self.log(
+            "silence",
+            false,
+            format!("Request {id} stays at its silent server."),
+        );
+        self.clear_timer(id);
+        if let Some(hard_deadline) = hard_deadline {
+            self.set_timer(id, hard_deadline);
+        }
+        if let Some(replaced) = replaced.filter(|_| was_tried) {
+            self.attempt_requests.remove(&replaced);
+            self.on_not_copied(id, attempt);
+        }
+        true
+    }
+
+    /// Cancels the attempt that is tried in place of a silent one, which has spoken again.
+    fn resume_silent(&mut self, id: RequestId) {
+        self.withdraw_all(id);
+        let running = self.jobs.get(&id).and_then(Job::running);
+        if let Some(attempt) = running.map(|running| running.attempt) {
+            self.out.push(Output::Cancel {
+                request: id,
+                attempt,
+            });
+            self.record_ended(id, End::Cancelled);
+        }
+        self.restore_silent(id);
+    }
+
+    /// Forgets a silent attempt and reports its end to the coordinator.
+    pub(crate) fn drop_silent(&mut self, id: RequestId, end: End) {
+        let silent = self.jobs.get_mut(&id).and_then(|job| job.silent.take());
+        if let Some(silent) = silent {
+            self.attempt_requests.remove(&silent.attempt);
+            self.record_attempt_ended(id, &silent, end);
+        }
+    }
+}
--- a/crates/exchange/src/relay.rs
+++ b/crates/exchange/src/relay.rs
@@ -341,9 +341,7 @@
     /// Makes an attempt. Returns `None` if a command of the decider ended the attempt; the command
     /// is then pending.
     async fn attempt_until_command(&mut self, dispatch: &Dispatch) -> Option<AttemptResult> {
-        self.attempts += 1;
-        self.last_server = dispatch.server.clone();
-        self.log_dispatch(dispatch);
+        self.record_attempt(dispatch);
         let attempting = self.run_attempt(dispatch);
         tokio::pin!(attempting);
         loop {
@@ -362,6 +360,12 @@
         }
     }
 
+    fn record_attempt(&mut self, dispatch: &Dispatch) {
+        self.attempts += 1;
+        self.last_server = dispatch.server.clone();
+        self.log_dispatch(dispatch);
+    }
+
     /// Returns the future of an attempt. The future doesn't borrow the relay, so that the relay can
     /// handle commands meanwhile.
     fn run_attempt(
--- a/crates/exchange/src/relay/streaming.rs
+++ b/crates/exchange/src/relay/streaming.rs
@@ -1,6 +1,7 @@
 //! Forwarding of a response to the caller as it arrives, over several attempts if necessary.
 
 use std::collections::VecDeque;
+use std::pin::Pin;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,6 +13,7 @@
 use tokio::time::Instant;
 use wigeon_core::Event;
 use wigeon_core::message::Dispatch;
+use wire::AttemptId;
 
 use super::Relay;
 use super::ResponseBody;
@@ -29,13 +31,104 @@
 const QUEUED_EVENTS_MAX: usize = 16;
 /// Number of events between two progress reports to the decider.
 const EVENTS_PER_REPORT: u32 = 8;
-/// Time without a new event after which a stream is resumed from its replica. Engines send an event
-/// every 30 to 90 ms; a server that sends none for this long has crashed or is partitioned. Bytes
-/// that complete no new event do not count, since a stalled server may still send some.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time without a new event after which the decider may resume a stream from its replica. A sound
+/// server may be silent for a second or so. Bytes that complete no new event do not count, since a
+/// stalled server may still send some.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Maximum number of bytes in events that the caller already has, between two new events.
 const REPEATED_BYTES_MAX: usize = 256 * 1_024;
 
+/// The state of a stream of events that is forwarded.
+struct Forwarding {
+    /// The attempt whose events are forwarded.
+    dispatch: Dispatch,
+    /// The rest of that attempt's response, or `None` once it is lost.
+    stream: Option<ResponseStream>,
+    /// The attempt that replaces this one with its first event.
+    successor: Option<Successor>,
+    /// Events for the caller that have not been sent yet.
+    queue: VecDeque<Bytes>,
+    /// Time of the last new event.
+    progressed_at: Instant,
+    /// Bytes in events that the caller already had, since the last new event.
+    repeated_bytes: usize,
+    /// Whether the decider knows that the stream is silent.
+    is_silent: bool,
+}
+
+/// An attempt to resume a stream that has not sent an event yet.
+struct Successor {
+    dispatch: Box<Dispatch>,
+    result: Pin<Box<dyn Future<Output = AttemptResult> + Send>>,
+}
+
+/// What follows after an event of the forwarding loop.
+enum Step {
+    /// The stream goes on.
+    Continue,
+    /// The stream is complete.
+    Complete,
+    /// The caller's connection is aborted for a reason.
+    Abort(&'static str),
+}
+
+impl Forwarding {
+    fn new(dispatch: Dispatch, stream: ResponseStream) -> Forwarding {
+        Forwarding {
+            dispatch,
+            stream: Some(stream),
+            successor: None,
+            queue: VecDeque::new(),
+            progressed_at: Instant::now(),
+            repeated_bytes: 0,
+            is_silent: false,
+        }
+    }
+
+    /// Returns whether another attempt may be tried: the stream is lost or silent.
+    fn awaits_dispatch(&self) -> bool {
+        self.stream.is_none() || self.is_silent
+    }
+
+    fn send_queued(&mut self, permit: mpsc::Permit<'_, Result<Bytes, Truncated>>) {
+        if self.queue.len() >= QUEUED_EVENTS_MAX {
+            // Nothing was read from the server while the caller was behind.
+            self.progressed_at = Instant::now();
+        }
+        if let Some(bytes) = self.queue.pop_front() {
+            permit.send(Ok(bytes));
+        }
+    }
+
+    /// Records a new event. Returns whether the stream was silent before.
+    fn record_progress(&mut self) -> bool {
+        self.progressed_at = Instant::now();
+        self.repeated_bytes = 0;
+        self.successor = None;
+        std::mem::take(&mut self.is_silent)
+    }
+
+    /// Replaces the attempt by its successor, which closes the connection to its server.
+    fn replace(&mut self, dispatch: Dispatch, stream: ResponseStream) {
+        *self = Forwarding {
+            queue: std::mem::take(&mut self.queue),
+            ..Forwarding::new(dispatch, stream)
+        };
+    }
+
+    fn close_stream(&mut self) {
+        self.stream = None;
+        self.is_silent = false;
+    }
+
+    fn cancel(&mut self, attempt: AttemptId) {
+        let is_successor = |successor: &mut Successor| successor.dispatch.attempt == attempt;
+        if self.successor.take_if(is_successor).is_none() && self.dispatch.attempt == attempt {
+            self.close_stream();
+        }
+    }
+}
+
 impl Relay {
     /// Spawns a task that forwards the rest of a response, and returns the response with its head.
     /// `prefix` holds the first bytes of a response that is not a stream of events.
@@ -107,161 +200,186 @@
     }
 
     /// Forwards a stream of events. When an attempt fails, the stream resumes with the decider's
-    /// next attempt.
+    /// next attempt. A silent attempt is kept until the next one has sent an event.
     async fn forward_events(
         mut self,
-        mut dispatch: Dispatch,
+        dispatch: Dispatch,
         stream: ResponseStream,
         caller: mpsc::Sender<Result<Bytes, Truncated>>,
     ) {
         self.send_event(&dispatch, Event::FirstToken).await;
-        let mut stream = Some(stream);
-        let mut queue: VecDeque<Bytes> = VecDeque::new();
-        let mut progressed_at = Instant::now();
-        let mut repeated_bytes = 0;
+        let mut forwarding = Forwarding::new(dispatch, stream);
         loop {
-            let times_out = stream.is_some() && queue.is_empty() && self.has_replica(&dispatch);
-            let silent_at = times_out.then_some(progressed_at + SILENCE_TIMEOUT);
-            tokio::select! {
+            let silent_at = self.silent_at(&forwarding);
+            let step = tokio::select! {
                 biased;
-                permit = caller.reserve(), if !queue.is_empty() => match permit {
+                permit = caller.reserve(), if !forwarding.queue.is_empty() => match permit {
                     Ok(permit) => {
-                        if queue.len() >= QUEUED_EVENTS_MAX {
-                            // Nothing was read from the server while the caller was behind.
-                            progressed_at = Instant::now();
-                        }
-                        if let Some(bytes) = queue.pop_front() {
-                            permit.send(Ok(bytes));
-                        }
+                        forwarding.send_queued(permit);
+                        Step::Continue
                     }
                     Err(_) => return,
                 },
                 () = caller.closed() => return,
-                command = receive(&mut self.pending_commands, &mut self.commands) => match command {
-                    RelayCommand::Dispatch(next) => {
-                        self.replication = None;
-                        if next
-                            .resume_from
-                            .as_ref()
-                            .is_some_and(|replica| replica.handle == self.replica_handle)
-                        {
-                            // The attempt consumes the replica, so it must not be released.
-                            self.replica_handle = None;
-                        }
-                        stream = self.resume(&next, &caller).await;
-                        dispatch = *next;
-                        progressed_at = Instant::now();
-                        repeated_bytes = 0;
-                    }
-                    RelayCommand::Copy(attempt, endpoint) if attempt == dispatch.attempt => {
-                        self.start_replication(&dispatch, endpoint);
-                    }
-                    RelayCommand::Cancel(attempt) if attempt == dispatch.attempt => stream = None,
-                    RelayCommand::Cancel(_) | RelayCommand::Copy(..) | RelayCommand::Orphan => {}
-                    RelayCommand::Finish(outcome) => {
-                        let (_, reason) = outcome_labels(&outcome);
-                        self.finish("failed", reason, StatusCode::OK);
-                        let _ = caller.send(Err(Truncated)).await;
-                        return;
-                    }
-                },
+                command = receive(&mut self.pending_commands, &mut self.commands) => {
+                    self.on_command(&mut forwarding, command)
+                }
                 event = Replication::next(&mut self.replication) => {
-                    self.on_replication_event(&dispatch, event).await;
+                    self.on_replication_event(&forwarding.dispatch, event).await;
+                    Step::Continue
                 }
-                item = next_item(&mut stream, silent_at), if queue.len() < QUEUED_EVENTS_MAX => {
-                    match item {
-                        StreamItem::Event(event) => {
-                            let size = event.bytes.len();
-                            let has_id = event.id.is_some();
-                            if let Some(bytes) = self.accept_event(event) {
-                                queue.push_back(bytes);
-                                if has_id {
-                                    progressed_at = Instant::now();
-                                    repeated_bytes = 0;
-                                }
-                            } else {
-                                repeated_bytes += size;
-                            }
-                            self.report_progress(&dispatch).await;
-                            if repeated_bytes > REPEATED_BYTES_MAX {
-                                stream = None;
-                                self.lose_stream(&dispatch, "repeating").await;
-                            }
-                        }
-                        StreamItem::End => {
-                            let event = self.completion_event();
-                            self.send_event(&dispatch, event).await;
-                            for bytes in queue {
-                                if caller.send(Ok(bytes)).await.is_err() {
-                                    break;
-                                }
-                            }
-                            self.finish("answered", "complete", StatusCode::OK);
-                            return;
-                        }
-                        StreamItem::Truncated | StreamItem::Silent => {
-                            let result = match item {
-                                StreamItem::Silent => "silent",
-                                _ => "broken",
-                            };
-                            // Closes the connection before the report, so that the server has
-                            // stopped the generation when the decider orders the next attempt.
-                            stream = None;
-                            self.lose_stream(&dispatch, result).await;
+                result = next_result(&mut forwarding.successor) => {
+                    self.on_successor_result(&mut forwarding, result).await;
+                    Step::Continue
+                }
+                item = next_item(&mut forwarding.stream, silent_at),
+                    if forwarding.queue.len() < QUEUED_EVENTS_MAX =>
+                {
+                    self.on_item(&mut forwarding, item).await
+                }
+            };
+            match step {
+                Step::Continue => {}
+                Step::Complete => {
+                    for bytes in forwarding.queue {
+                        if caller.send(Ok(bytes)).await.is_err() {
+                            break;
                         }
                     }
+                    self.finish("answered", "complete", StatusCode::OK);
+                    return;
+                }
+                Step::Abort(reason) => {
+                    self.finish("failed", reason, StatusCode::OK);
+                    let _ = caller.send(Err(Truncated)).await;
+                    return;
                 }
             }
         }
     }
 
-    /// Reports to the decider that the stream of an attempt was lost.
-    async fn lose_stream(&mut self, dispatch: &Dispatch, result: &'static str) {
-        self.log_failed_attempt(dispatch, result);
-        let event = self.lost_event();
-        self.send_event(dispatch, event).await;
+    /// Returns when the stream counts as silent if no event arrives, or `None` if it can't be
+    /// resumed from a replica or another attempt is already tried.
+    fn silent_at(&self, forwarding: &Forwarding) -> Option<Instant> {
+        let may_resume = forwarding.stream.is_some()
+            && forwarding.successor.is_none()
+            && forwarding.queue.is_empty()
+            && self.has_replica(&forwarding.dispatch);
+        may_resume.then_some(forwarding.progressed_at + SILENCE_TIMEOUT)
     }
 
-    /// Returns whether the attempt's generation has a replica: one that the dispatch named, or one
-    /// that was made during the attempt.
-    fn has_replica(&self, dispatch: &Dispatch) -> bool {
-        let replica = self.replica_handle.as_ref();
-        dispatch.copy.is_some() || replica.is_some_and(|handle| handle.source == dispatch.address)
+    fn on_command(&mut self, forwarding: &mut Forwarding, command: RelayCommand) -> Step {
+        match command {
+            RelayCommand::Dispatch(dispatch) if forwarding.awaits_dispatch() => {
+                let uses_replica = dispatch
+                    .resume_from
+                    .as_ref()
+                    .is_some_and(|replica| replica.handle == self.replica_handle);
+                if uses_replica {
+                    // The attempt consumes the replica, so it must not be released.
+                    self.replica_handle = None;
+                }
+                self.replication = None;
+                self.record_attempt(&dispatch);
+                let result = Box::pin(self.run_attempt(&dispatch));
+                forwarding.successor = Some(Successor { dispatch, result });
+            }
+            // The server has sent an event since the decider ordered this attempt.
+            RelayCommand::Dispatch(_) => {}
+            RelayCommand::Copy(attempt, endpoint) if attempt == forwarding.dispatch.attempt => {
+                self.start_replication(&forwarding.dispatch, endpoint);
+            }
+            RelayCommand::Cancel(attempt) => forwarding.cancel(attempt),
+            RelayCommand::Copy(..) | RelayCommand::Orphan => {}
+            RelayCommand::Finish(outcome) => {
+                let (_, reason) = outcome_labels(&outcome);
+                return Step::Abort(reason);
+            }
+        }
+        Step::Continue
+    }
+
+    async fn on_item(&mut self, forwarding: &mut Forwarding, item: StreamItem) -> Step {
+        match item {
+            StreamItem::Event(event) => self.on_event(forwarding, event).await,
+            StreamItem::End => {
+                let event = self.completion_event();
+                self.send_event(&forwarding.dispatch, event).await;
+                return Step::Complete;
+            }
+            StreamItem::Truncated => {
+                // Closes the connection before the report, so that the server has stopped the
+                // generation when the decider orders the next attempt.
+                forwarding.close_stream();
+                self.lose_stream(&forwarding.dispatch, "broken").await;
+            }
+            StreamItem::Silent => {
+                forwarding.is_silent = true;
+                forwarding.progressed_at = Instant::now();
+                self.log_failed_attempt(&forwarding.dispatch, "silent");
+                let delivered = self.tokens_sent();
+                let event = Event::Silent { delivered };
+                self.send_event(&forwarding.dispatch, event).await;
+            }
+        }
+        Step::Continue
+    }
+
+    async fn on_event(&mut self, forwarding: &mut Forwarding, event: sse::Event) {
+        let size = event.bytes.len();
+        let has_id = event.id.is_some();
+        match self.accept_event(event) {
+            Some(bytes) => {
+                forwarding.queue.push_back(bytes);
+                if has_id && forwarding.record_progress() {
+                    self.send_event(&forwarding.dispatch, Event::Recovered)
+                        .await;
+                }
+            }
+            None => forwarding.repeated_bytes += size,
+        }
+        self.report_progress(&forwarding.dispatch).await;
+        if forwarding.repeated_bytes > REPEATED_BYTES_MAX {
+            forwarding.close_stream();
+            self.lose_stream(&forwarding.dispatch, "repeating").await;
+        }
     }
 
-    /// Makes an attempt to resume the stream. Returns the rest of its response, or `None` if the
-    /// attempt failed, which is reported to the decider.
-    async fn resume(
+    /// Handles the result of an attempt to resume the stream. With its first event the attempt
+    /// replaces the one before.
+    async fn on_successor_result(
         &mut self,
-        dispatch: &Dispatch,
-        caller: &mpsc::Sender<Result<Bytes, Truncated>>,
-    ) -> Option<ResponseStream> {
-        let result = tokio::select! {
-            result = self.attempt_until_command(dispatch) => result?,
-            () = caller.closed() => return None,
-        };
+        forwarding: &mut Forwarding,
+        (dispatch, result): (Dispatch, AttemptResult),
+    ) {
         match result {
             AttemptResult::EventStream(_, stream) => {
-                self.send_event(dispatch, Event::FirstToken).await;
-                Some(stream)
+                self.send_event(&dispatch, Event::FirstToken).await;
+                forwarding.replace(dispatch, stream);
             }
             // The caller has received the beginning of a stream, which no other kind of response
             // can complete.
             AttemptResult::Complete(..)
             | AttemptResult::Partial(..)
-            | AttemptResult::ServerError(..) => {
-                self.log_failed_attempt(dispatch, "no-stream");
-                let event = self.lost_event();
-                self.send_event(dispatch, event).await;
-                None
-            }
-            other => {
-                self.report_attempt(dispatch, other).await;
-                None
-            }
+            | AttemptResult::ServerError(..) => self.lose_stream(&dispatch, "no-stream").await,
+            other => self.report_attempt(&dispatch, other).await,
         }
     }
 
+    /// Reports to the decider that the stream of an attempt was lost.
+    async fn lose_stream(&mut self, dispatch: &Dispatch, result: &'static str) {
+        self.log_failed_attempt(dispatch, result);
+        let event = self.lost_event();
+        self.send_event(dispatch, event).await;
+    }
+
+    /// Returns whether the attempt's generation has a replica: one that the dispatch named, or one
+    /// that was made during the attempt.
+    fn has_replica(&self, dispatch: &Dispatch) -> bool {
+        let replica = self.replica_handle.as_ref();
+        dispatch.copy.is_some() || replica.is_some_and(|handle| handle.source == dispatch.address)
+    }
+
     /// Records an event and returns its bytes for the caller, or `None` if the caller already has
     /// the event.
     fn accept_event(&mut self, event: sse::Event) -> Option<Bytes> {
@@ -309,6 +427,19 @@
     }
 }
 
+/// Waits for the result of the attempt that is to replace the current one. Waits forever if there is
+/// none.
+async fn next_result(successor: &mut Option<Successor>) -> (Dispatch, AttemptResult) {
+    let Some(pending) = successor else {
+        return std::future::pending().await;
+    };
+    let result = pending.result.as_mut().await;
+    match successor.take() {
+        Some(successor) => (*successor.dispatch, result),
+        None => std::future::pending().await,
+    }
+}
+
 /// Waits for the next part of the stream. Without a stream it waits forever, and a stream without a
 /// new event until `silent_at` counts as silent.
 async fn next_item(stream: &mut Option<ResponseStream>, silent_at: Option<Instant>) -> StreamItem {
