Replace a silent attempt as soon as another server begins to answer

A stream whose server was silent was kept until the attempt in its place had sent an event. Found by review.

The head of the response already proves that the copy was neither refused nor missing, so it decides: the relay reports `Accepted`, the decider gives up the silent attempt, and its connection is closed before the first event of the other. A resumed stream that ends without any event is lost, as before.

--- a/crates/core/src/lifecycle.rs
+++ b/crates/core/src/lifecycle.rs
@@ -375,10 +375,8 @@
             return;
         }
         match event {
-            Event::FirstToken => {
-                self.replace_silent(id);
-                self.on_first_token(id);
-            }
+            Event::Accepted => self.replace_silent(id),
+            Event::FirstToken => self.on_first_token(id),
             Event::Progress {
                 generated,
                 delivered,
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -52,6 +52,8 @@
 /// An event in the course of an attempt.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
+    /// The server has begun to answer an attempt that resumes a generation.
+    Accepted,
     /// The first token has arrived.
     FirstToken,
     /// More tokens have arrived.
--- a/crates/core/src/silence.rs
+++ b/crates/core/src/silence.rs
@@ -3,9 +3,9 @@
 //! Silence does not tell a crash from a pause: a sound server may send nothing for a second or
 //! longer and then go on, and an engine that preempts a generation does the same. An attempt that
 //! is silent is therefore not given up. The instance tries to go on from the copy of the
-//! generation's memory, and the silent attempt stays open until the other one has produced a
-//! token. If its own server speaks first, or the other attempt fails, it goes on as if nothing had
-//! happened. Silence never counts as a crash of the server under the request.
+//! generation's memory, and the silent attempt stays open until the server of the copy has begun to
+//! answer. If its own server speaks first, or the other attempt is refused, it goes on as if nothing
+//! had happened. Silence never counts as a crash of the server under the request.
 
 use wire::RequestId;
 use wire::admission::End;
@@ -45,6 +45,7 @@
     pub(crate) fn on_event_of_silent(&mut self, id: RequestId, event: &Event) -> bool {
         match event {
             Event::Recovered
+            | Event::Accepted
             | Event::FirstToken
             | Event::Progress { .. }
             | Event::Complete { .. } => {
@@ -70,7 +71,8 @@
         }
     }
 
-    /// Gives up a silent attempt, since the attempt in its place has produced a token.
+    /// Gives up a silent attempt, since the server of the attempt in its place has begun to answer.
+    /// From here on both would run the request.
     pub(crate) fn replace_silent(&mut self, id: RequestId) {
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
--- a/crates/core/tests/silence.rs
+++ b/crates/core/tests/silence.rs
@@ -1,4 +1,4 @@
-//! Attempts whose server is silent: they go on unless another attempt has produced a token.
+//! Attempts whose server is silent: they go on unless another server has begun to answer.
 
 mod driver;
 
@@ -59,14 +59,15 @@
 }
 
 #[test]
-fn silent_attempt_is_replaced_by_the_first_token_from_its_copy() {
+fn silent_attempt_is_replaced_once_the_server_of_its_copy_answers() {
     let (mut driver, first, second) = silent_request(&["a", "b", "c"]);
     assert_eq!(
         Some(&second.server),
         first.copy.as_ref().map(|copy| &copy.server)
     );
-    driver.event(&second, Event::FirstToken);
+    driver.event(&second, Event::Accepted);
     assert_eq!(driver.running_attempt(1), second.attempt);
+    driver.event(&second, Event::FirstToken);
     driver.event(&second, complete_event());
     assert!(driver.instance.is_idle());
     assert!(!is_cancelled(&driver, &second));
@@ -127,6 +128,7 @@
 #[test]
 fn silence_is_no_crash() {
     let (mut driver, first, second) = silent_request(&["a", "b", "c"]);
+    driver.event(&second, Event::Accepted);
     driver.event(&second, Event::FirstToken);
     driver.event(&second, silent_event());
     driver.advance(Duration::from_secs(1));
--- a/crates/exchange/src/relay.rs
+++ b/crates/exchange/src/relay.rs
@@ -65,6 +65,7 @@
 use crate::relay::replication::Replication;
 use crate::relay::response::AttemptResult;
 use crate::relay::response::ResponseHead;
+use crate::relay::response::ResponseStream;
 use crate::relay::response::await_first_event;
 use crate::relay::response::read_response;
 
@@ -376,6 +377,7 @@
         let meta = self.meta.clone();
         let classify = self.context.codec.classify;
         let expects_events = self.route.delivery == Delivery::Stream;
+        let is_resumed = self.progress.events > 0;
         let address = dispatch.address;
         let notices = NoticeReporter::new(&self.context, dispatch.server.clone(), dispatch.boot);
         async move {
@@ -396,6 +398,10 @@
                 ResponseKind::Unrelated => AttemptResult::Lost,
                 ResponseKind::ServerError => read_response(head, body, guard, true).await,
                 ResponseKind::Response if expects_events && parts.status == StatusCode::OK => {
+                    if is_resumed {
+                        let stream = ResponseStream::new(body, guard, true);
+                        return AttemptResult::EventStream(head, stream);
+                    }
                     await_first_event(head, body, guard).await
                 }
                 ResponseKind::Response => read_response(head, body, guard, false).await,
--- a/crates/exchange/src/relay/response.rs
+++ b/crates/exchange/src/relay/response.rs
@@ -65,7 +65,7 @@
     Complete(ResponseHead, Bytes),
     /// The beginning of a response that is too long to be buffered.
     Partial(ResponseHead, Bytes, ResponseStream),
-    /// A stream whose first event has arrived.
+    /// A stream of events: of a new stream the first event has arrived, of a resumed one the head.
     EventStream(ResponseHead, ResponseStream),
 }
 
@@ -74,6 +74,8 @@
     pub(super) body: Incoming,
     parser: Parser,
     first: Option<sse::Event>,
+    /// Whether an event must come before the end of the stream.
+    awaits_event: bool,
     _guard: ConnectionGuard,
 }
 
@@ -90,6 +92,21 @@
 }
 
 impl ResponseStream {
+    /// Returns the rest of a response whose head has been read.
+    pub(super) fn new(
+        body: Incoming,
+        guard: ConnectionGuard,
+        awaits_event: bool,
+    ) -> ResponseStream {
+        ResponseStream {
+            body,
+            parser: Parser::default(),
+            first: None,
+            awaits_event,
+            _guard: guard,
+        }
+    }
+
     /// Waits for the next event, or for the end of the stream.
     pub(super) async fn next(&mut self) -> StreamItem {
         loop {
@@ -97,7 +114,10 @@
                 return StreamItem::Event(first);
             }
             match self.parser.next_event() {
-                Ok(Some(event)) => return StreamItem::Event(event),
+                Ok(Some(event)) => {
+                    self.awaits_event = false;
+                    return StreamItem::Event(event);
+                }
                 Ok(None) => {}
                 Err(_) => return StreamItem::Truncated,
             }
@@ -108,7 +128,9 @@
                     }
                 }
                 Some(Err(_)) => return StreamItem::Truncated,
-                None if self.parser.has_partial_event() => return StreamItem::Truncated,
+                None if self.awaits_event || self.parser.has_partial_event() => {
+                    return StreamItem::Truncated;
+                }
                 None => return StreamItem::End,
             }
         }
@@ -121,12 +143,7 @@
     body: Incoming,
     guard: ConnectionGuard,
 ) -> AttemptResult {
-    let mut stream = ResponseStream {
-        body,
-        parser: Parser::default(),
-        first: None,
-        _guard: guard,
-    };
+    let mut stream = ResponseStream::new(body, guard, false);
     match stream.next().await {
         StreamItem::Event(event) => {
             stream.first = Some(event);
@@ -162,12 +179,7 @@
             return AttemptResult::Lost;
         }
         if buffer.len() > BUFFERED_BYTES_MAX {
-            let stream = ResponseStream {
-                body,
-                parser: Parser::default(),
-                first: None,
-                _guard: guard,
-            };
+            let stream = ResponseStream::new(body, guard, false);
             return AttemptResult::Partial(head, buffer.freeze(), stream);
         }
     }
--- a/crates/exchange/src/relay/streaming.rs
+++ b/crates/exchange/src/relay/streaming.rs
@@ -44,7 +44,7 @@
     dispatch: Dispatch,
     /// The rest of that attempt's response, or `None` once it is lost.
     stream: Option<ResponseStream>,
-    /// The attempt that replaces this one with its first event.
+    /// The attempt that replaces this one as soon as its server has begun to answer.
     successor: Option<Successor>,
     /// Events for the caller that have not been sent yet.
     queue: VecDeque<Bytes>,
@@ -54,9 +54,11 @@
     repeated_bytes: usize,
     /// Whether the decider knows that the stream is silent.
     is_silent: bool,
+    /// Whether no event of the attempt has arrived.
+    awaits_event: bool,
 }
 
-/// An attempt to resume a stream that has not sent an event yet.
+/// An attempt to resume a stream whose server has not begun to answer.
 struct Successor {
     dispatch: Box<Dispatch>,
     result: Pin<Box<dyn Future<Output = AttemptResult> + Send>>,
@@ -82,6 +84,7 @@
             progressed_at: Instant::now(),
             repeated_bytes: 0,
             is_silent: false,
+            awaits_event: true,
         }
     }
 
@@ -200,14 +203,13 @@
     }
 
     /// Forwards a stream of events. When an attempt fails, the stream resumes with the decider's
-    /// next attempt. A silent attempt is kept until the next one has sent an event.
+    /// next attempt. A silent attempt is kept until the server of the next one has begun to answer.
     async fn forward_events(
         mut self,
         dispatch: Dispatch,
         stream: ResponseStream,
         caller: mpsc::Sender<Result<Bytes, Truncated>>,
     ) {
-        self.send_event(&dispatch, Event::FirstToken).await;
         let mut forwarding = Forwarding::new(dispatch, stream);
         loop {
             let silent_at = self.silent_at(&forwarding);
@@ -326,6 +328,10 @@
     }
 
     async fn on_event(&mut self, forwarding: &mut Forwarding, event: sse::Event) {
+        if std::mem::take(&mut forwarding.awaits_event) {
+            self.send_event(&forwarding.dispatch, Event::FirstToken)
+                .await;
+        }
         let size = event.bytes.len();
         let has_id = event.id.is_some();
         match self.accept_event(event) {
@@ -345,8 +351,8 @@
         }
     }
 
-    /// Handles the result of an attempt to resume the stream. With its first event the attempt
-    /// replaces the one before.
+    /// Handles the result of an attempt to resume the stream. As soon as its server has begun to
+    /// answer, the attempt replaces the one before, so that only one server runs the request.
     async fn on_successor_result(
         &mut self,
         forwarding: &mut Forwarding,
@@ -354,7 +360,7 @@
     ) {
         match result {
             AttemptResult::EventStream(_, stream) => {
-                self.send_event(&dispatch, Event::FirstToken).await;
+                self.send_event(&dispatch, Event::Accepted).await;
                 forwarding.replace(dispatch, stream);
             }
             // The caller has received the beginning of a stream, which no other kind of response
