Match attempts to the silence that they were ordered for

Events and commands of a silent stream cross. An attempt that was ordered during one silence could be made in a later one, after the decider had cancelled it; then the relay closed the stream for an attempt that was no more, and the request hung until its timeout. A progress report that brought no new token (a comment, a repeated event) cancelled the attempt in place of a silent one in the same way.

A silence has a number until the next event, which the dispatch names; the relay makes an attempt only for its present silence or after a loss. Only `Recovered` and `Complete` take a silent attempt back, and the relay reports no progress during a silence.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -98,6 +98,15 @@
     pub replica: Option<Replica>,
 }
 
+/// An attempt whose server is silent, but whose connection is open.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Silent {
+    /// The attempt.
+    pub running: Running,
+    /// Number of the silence among those of the request.
+    pub silence: u32,
+}
+
 /// A request that an instance has accepted, from its arrival to its end.
 #[derive(Clone, Debug)]
 pub struct Job {
@@ -132,7 +141,7 @@
     /// The copy of a lost generation's KV memory from which the next attempt resumes.
     pub resume_from: Option<Replica>,
     /// The attempt whose server is silent, while another one is tried in its place.
-    pub silent: Option<Running>,
+    pub silent: Option<Silent>,
     /// Priority class for admission; zero is the most urgent.
     pub class: u8,
     /// Attempts that may have run, resumed ones not counted.
--- a/crates/core/src/lifecycle.rs
+++ b/crates/core/src/lifecycle.rs
@@ -258,6 +258,7 @@
             job.record_dispatch();
         }
         let hard_deadline = job.hard_deadline;
+        let silence = job.silent.as_ref().map(|silent| silent.silence);
         let list = self.list_position();
         let Some(job) = self.jobs.get_mut(&id) else {
             return false;
@@ -292,6 +293,7 @@
             rerun,
             copy: grant.replica.clone(),
             resume_from,
+            silence,
             list,
         }));
         self.check_invariant(eligible, Violation::WorkAfterWithdrawal);
@@ -366,7 +368,8 @@
         let job = &self.jobs[&id];
         let is_attempt = |running: &Running| running.attempt == attempt;
         let is_current = job.running().is_some_and(is_attempt);
-        let is_silent = job.silent.as_ref().is_some_and(is_attempt);
+        let silent = job.silent.as_ref();
+        let is_silent = silent.is_some_and(|silent| is_attempt(&silent.running));
         let is_handled = match is_silent {
             true => self.on_event_of_silent(id, &event),
             false => is_current,
@@ -392,9 +395,9 @@
             Event::Copied(replica) => self.on_copied(id, replica),
             Event::NotCopied => self.on_not_copied(id, attempt),
             Event::Lost { crashed, delivered } => self.on_lost(id, crashed, delivered),
-            Event::Silent { delivered } => {
+            Event::Silent { silence, delivered } => {
                 self.record_delivered(id, delivered);
-                self.on_silent(id);
+                self.on_silent(id, silence);
             }
             Event::Recovered => {}
             Event::Diverged { delivered } => {
@@ -433,7 +436,7 @@
         self.record_progress(id);
     }
 
-    fn record_delivered(&mut self, id: RequestId, delivered: u32) {
+    pub(crate) fn record_delivered(&mut self, id: RequestId, delivered: u32) {
         if let Some(job) = self.jobs.get_mut(&id) {
             job.record_delivered(delivered);
         }
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -91,6 +91,8 @@
     },
     /// No token has arrived for some time, but the connection is open.
     Silent {
+        /// Number of this silence among those of the request.
+        silence: u32,
         /// Tokens that the caller has received.
         delivered: u32,
     },
@@ -310,6 +312,9 @@
     pub copy: Option<Endpoint>,
     /// The copy on this server from which the generation resumes, if any.
     pub resume_from: Option<Replica>,
+    /// Number of the silence that led to this attempt, if the attempt before it is still open. Once
+    /// that silence is over the attempt must not be made.
+    pub silence: Option<u32>,
     /// The list of servers by which the server was chosen, for the log.
     pub list: ListPosition,
 }
--- a/crates/core/src/silence.rs
+++ b/crates/core/src/silence.rs
@@ -14,12 +14,13 @@
 use crate::job::Job;
 use crate::job::Phase;
 use crate::job::Running;
+use crate::job::Silent;
 use crate::message::Event;
 use crate::message::Output;
 
 impl Instance {
     /// Starts to go on from the copy of a silent attempt's memory, if there is one.
-    pub(crate) fn on_silent(&mut self, id: RequestId) {
+    pub(crate) fn on_silent(&mut self, id: RequestId, silence: u32) {
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
@@ -33,7 +34,7 @@
             "Request {id}: server {} is silent, trying its copy.",
             running.server
         );
-        job.silent = Some(running);
+        job.silent = Some(Silent { running, silence });
         self.log("silence", false, text);
         if !self.resume_from_copy(id) {
             self.restore_silent(id);
@@ -44,22 +45,22 @@
     /// whether the event is to be handled like that of any running attempt.
     pub(crate) fn on_event_of_silent(&mut self, id: RequestId, event: &Event) -> bool {
         match event {
-            Event::Recovered
-            | Event::Accepted
-            | Event::FirstToken
-            | Event::Progress { .. }
-            | Event::Complete { .. } => {
+            Event::Recovered | Event::Complete { .. } => {
                 self.resume_silent(id);
                 true
             }
+            Event::Progress { delivered, .. } => {
+                self.record_delivered(id, *delivered);
+                false
+            }
             Event::Copied(replica) => {
                 let silent = self.jobs.get_mut(&id).and_then(|job| job.silent.as_mut());
                 if let Some(silent) = silent {
-                    silent.replica = Some(replica.clone());
+                    silent.running.replica = Some(replica.clone());
                 }
                 false
             }
-            Event::NotCopied | Event::Silent { .. } => false,
+            Event::Accepted | Event::FirstToken | Event::NotCopied | Event::Silent { .. } => false,
             Event::Refused
             | Event::Unreachable
             | Event::Failed
@@ -77,7 +78,7 @@
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
-        let Some(silent) = job.silent.clone() else {
+        let Some(silent) = job.silent.as_ref().map(|silent| silent.running.clone()) else {
             return;
         };
         job.avoid(&silent.server);
@@ -98,7 +99,10 @@
         let Some(job) = self.jobs.get_mut(&id) else {
             return false;
         };
-        let Some(silent) = job.silent.take() else {
+        let Some(Silent {
+            running: silent, ..
+        }) = job.silent.take()
+        else {
             return false;
         };
         let replaced = job.running().map(|running| running.attempt);
@@ -142,9 +146,9 @@
     /// Forgets a silent attempt and reports its end to the coordinator.
     pub(crate) fn drop_silent(&mut self, id: RequestId, end: End) {
         let silent = self.jobs.get_mut(&id).and_then(|job| job.silent.take());
-        if let Some(silent) = silent {
-            self.attempt_requests.remove(&silent.attempt);
-            self.record_attempt_ended(id, &silent, end);
+        if let Some(Silent { running, .. }) = silent {
+            self.attempt_requests.remove(&running.attempt);
+            self.record_attempt_ended(id, &running, end);
         }
     }
 }
--- a/crates/core/tests/silence.rs
+++ b/crates/core/tests/silence.rs
@@ -16,6 +16,7 @@
 
 fn silent_event() -> Event {
     Event::Silent {
+        silence: 1,
         delivered: DELIVERED,
     }
 }
--- a/crates/exchange/src/relay/streaming.rs
+++ b/crates/exchange/src/relay/streaming.rs
@@ -52,8 +52,10 @@
     progressed_at: Instant,
     /// Bytes in events that the caller already had, since the last new event.
     repeated_bytes: usize,
-    /// Whether the decider knows that the stream is silent.
-    is_silent: bool,
+    /// Number of silences reported to the decider.
+    silences: u32,
+    /// The present silence, if it was reported.
+    silence: Option<u32>,
     /// Whether no event of the attempt has arrived.
     awaits_event: bool,
 }
@@ -83,14 +85,29 @@
             queue: VecDeque::new(),
             progressed_at: Instant::now(),
             repeated_bytes: 0,
-            is_silent: false,
+            silences: 0,
+            silence: None,
             awaits_event: true,
         }
     }
 
-    /// Returns whether another attempt may be tried: the stream is lost or silent.
-    fn awaits_dispatch(&self) -> bool {
-        self.stream.is_none() || self.is_silent
+    /// Returns whether an attempt may be made: it was ordered for the present silence or, after a
+    /// silence or without one, for the loss of the stream.
+    fn awaits(&self, dispatch: &Dispatch) -> bool {
+        match dispatch.silence {
+            Some(silence) => self.silence == Some(silence),
+            None => self.stream.is_none(),
+        }
+    }
+
+    /// Records that no event has arrived for some time. Returns the number of the silence, which
+    /// stays the same until an event arrives.
+    fn record_silence(&mut self) -> u32 {
+        self.progressed_at = Instant::now();
+        if self.silence.is_none() {
+            self.silences += 1;
+        }
+        *self.silence.insert(self.silences)
     }
 
     fn send_queued(&mut self, permit: mpsc::Permit<'_, Result<Bytes, Truncated>>) {
@@ -108,20 +125,20 @@
         self.progressed_at = Instant::now();
         self.repeated_bytes = 0;
         self.successor = None;
-        std::mem::take(&mut self.is_silent)
+        self.silence.take().is_some()
     }
 
     /// Replaces the attempt by its successor, which closes the connection to its server.
     fn replace(&mut self, dispatch: Dispatch, stream: ResponseStream) {
         *self = Forwarding {
             queue: std::mem::take(&mut self.queue),
+            silences: self.silences,
             ..Forwarding::new(dispatch, stream)
         };
     }
 
     fn close_stream(&mut self) {
         self.stream = None;
-        self.is_silent = false;
     }
 
     fn cancel(&mut self, attempt: AttemptId) {
@@ -272,7 +289,7 @@
 
     fn on_command(&mut self, forwarding: &mut Forwarding, command: RelayCommand) -> Step {
         match command {
-            RelayCommand::Dispatch(dispatch) if forwarding.awaits_dispatch() => {
+            RelayCommand::Dispatch(dispatch) if forwarding.awaits(&dispatch) => {
                 let uses_replica = dispatch
                     .resume_from
                     .as_ref()
@@ -316,11 +333,10 @@
                 self.lose_stream(&forwarding.dispatch, "broken").await;
             }
             StreamItem::Silent => {
-                forwarding.is_silent = true;
-                forwarding.progressed_at = Instant::now();
+                let silence = forwarding.record_silence();
                 self.log_failed_attempt(&forwarding.dispatch, "silent");
                 let delivered = self.tokens_sent();
-                let event = Event::Silent { delivered };
+                let event = Event::Silent { silence, delivered };
                 self.send_event(&forwarding.dispatch, event).await;
             }
         }
@@ -344,7 +360,9 @@
             }
             None => forwarding.repeated_bytes += size,
         }
-        self.report_progress(&forwarding.dispatch).await;
+        if forwarding.silence.is_none() {
+            self.report_progress(&forwarding.dispatch).await;
+        }
         if forwarding.repeated_bytes > REPEATED_BYTES_MAX {
             forwarding.close_stream();
             self.lose_stream(&forwarding.dispatch, "repeating").await;
