Let a silent attempt go on when its request is barred meanwhile

A running request goes on when it, or a part of its prompt, is barred; one whose server was silent just then was ended, with its caller's connection aborted, since it was looking for its copy. The same held for one whose search outlasted the placement deadline after a pause of the process. silent_attempt_of_a_request_that_is_barred_meanwhile_goes_on failed before with `Failed(Barred)`. Found by review.

All ends of a search now restore a silent attempt first, and withdraw the search's reservations.

--- a/crates/core/src/lifecycle.rs
+++ b/crates/core/src/lifecycle.rs
@@ -213,8 +213,12 @@
         self.end(id, Reason::TimedOut, None);
     }
 
-    /// Ends a job whose deadline has passed before an attempt was dispatched.
+    /// Ends a job whose deadline has passed before an attempt was dispatched, unless an earlier one
+    /// is only silent.
     fn end_unplaced(&mut self, id: RequestId) {
+        if self.restore_silent(id) {
+            return;
+        }
         let reason = match &self.jobs[&id].phase {
             Phase::Claiming(_) => Reason::NoLedger,
             Phase::Joining { .. } => Reason::KeyInUse,
@@ -591,8 +595,12 @@
         }
     }
 
-    /// Ends a job whose request was running on too many servers that crashed.
+    /// Ends a job whose request was running on too many servers that crashed. An attempt that is
+    /// only silent goes on, like any that was running when the request was barred.
     pub(crate) fn end_barred(&mut self, id: RequestId) {
+        if self.restore_silent(id) {
+            return;
+        }
         if let Some(job) = self.jobs.get_mut(&id) {
             // The request ran, in this submission or an earlier one, so its outcome must be a
             // failure and not a refusal.
--- a/crates/core/src/parts.rs
+++ b/crates/core/src/parts.rs
@@ -150,7 +150,9 @@
             .map(|job| job.request.id)
             .collect();
         for id in waiting {
-            self.end(id, Reason::PartBarred, Some(bar));
+            if !self.restore_silent(id) {
+                self.end(id, Reason::PartBarred, Some(bar));
+            }
         }
     }
 
@@ -184,8 +186,8 @@
         member::rendezvous::order(&key, running, 1).first().copied()
     }
 
-    /// Ends a request whose prompt contains a barred part, unless it may run on trial. Returns
-    /// whether it was ended.
+    /// Ends a request whose prompt contains a barred part, unless it may run on trial. An attempt
+    /// that is only silent goes on. Returns false if the request may be placed.
     pub(crate) fn end_if_part_barred(&mut self, id: RequestId) -> bool {
         let Some(job) = self.jobs.get(&id) else {
             return false;
@@ -209,7 +211,9 @@
             None if on_trial.into_iter().all(|part| self.take_trial(part, id)) => return false,
             None => TRIAL_RETRY_AFTER,
         };
-        self.end(id, Reason::PartBarred, Some(retry_after));
+        if !self.restore_silent(id) {
+            self.end(id, Reason::PartBarred, Some(retry_after));
+        }
         true
     }
 
--- a/crates/core/src/silence.rs
+++ b/crates/core/src/silence.rs
@@ -96,6 +96,10 @@
     /// Lets a silent attempt go on, since the attempt in its place has failed or was not possible.
     /// Returns whether there is a silent attempt.
     pub(crate) fn restore_silent(&mut self, id: RequestId) -> bool {
+        if self.jobs.get(&id).is_none_or(|job| job.silent.is_none()) {
+            return false;
+        }
+        self.withdraw_all(id);
         let Some(job) = self.jobs.get_mut(&id) else {
             return false;
         };
@@ -131,7 +135,6 @@
 
     /// Cancels the attempt that is tried in place of a silent one, which has spoken again.
     fn resume_silent(&mut self, id: RequestId) {
-        self.withdraw_all(id);
         let running = self.jobs.get(&id).and_then(Job::running);
         if let Some(attempt) = running.map(|running| running.attempt) {
             self.out.push(Output::Cancel {
--- a/crates/core/tests/silent_races.rs
+++ b/crates/core/tests/silent_races.rs
@@ -1,7 +1,10 @@
-//! Events that cross while a silent attempt and the one in its place run.
+//! Events that cross while a silent attempt and the one in its place run, and verdicts that arrive
+//! meanwhile.
 
 mod driver;
 
+use std::time::Duration;
+
 use wigeon_core::Event;
 use wigeon_core::Input;
 use wigeon_core::Output;
@@ -13,6 +16,7 @@
 
 const SERVERS: [&str; 8] = ["a", "b", "c", "d", "e", "f", "g", "h"];
 const DELIVERED: u32 = 200;
+const SHARED_FINGERPRINT: u64 = 77;
 
 fn send(driver: &mut Driver, request: Request) -> Dispatch {
     let id = request.id;
@@ -22,12 +26,47 @@
     dispatch
 }
 
+fn request_alike(driver: &Driver, id: u64) -> Request {
+    Request {
+        fingerprint: SHARED_FINGERPRINT,
+        ..driver.new_request(id)
+    }
+}
+
 fn is_cancelled(driver: &Driver, dispatch: &Dispatch) -> bool {
     driver.outputs.iter().any(
         |output| matches!(output, Output::Cancel { attempt, .. } if *attempt == dispatch.attempt),
     )
 }
 
+#[test]
+fn silent_attempt_of_a_request_that_is_barred_meanwhile_goes_on() {
+    let mut driver = Driver::new(streaming_route(), &SERVERS);
+    let request = request_alike(&driver, 1);
+    let first = send(&mut driver, request);
+    for id in 2..=3 {
+        let request = request_alike(&driver, id);
+        let dispatch = send(&mut driver, request);
+        assert_ne!(dispatch.server, first.server);
+        let lost = Event::Lost {
+            crashed: true,
+            delivered: DELIVERED,
+        };
+        driver.event(&dispatch, lost);
+    }
+    assert_eq!(driver.outcome(1), None, "a running request goes on");
+    driver.event(
+        &first,
+        Event::Silent {
+            silence: 1,
+            delivered: DELIVERED,
+        },
+    );
+    driver.advance(Duration::from_secs(1));
+    assert_eq!(driver.outcome(1), None, "silence is no end");
+    assert_eq!(driver.running_attempt(1), first.attempt);
+}
+
 #[test]
 fn progress_without_a_new_token_does_not_end_the_attempt_in_place_of_a_silent_one() {
     let mut driver = Driver::new(streaming_route(), &SERVERS);
