Count the crash of a silent server, and report silent attempts

An attempt whose connection ended while it was silent left no strike, no health record and no server to avoid, so a request that makes servers hang before they crash was never barred; crash_of_a_silent_server_counts_like_any_other failed before. Full reports to coordinators left silent attempts out, whose places could then be granted twice.

--- a/crates/core/src/lifecycle.rs
+++ b/crates/core/src/lifecycle.rs
@@ -548,34 +548,8 @@
             return;
         };
         let fingerprint = job.request.fingerprint;
-        let running = job.running().cloned();
-        if let Some(running) = running {
-            job.avoid(&running.server);
-            // A server that had announced that it leaves was not crashed by this request, so no
-            // strike is recorded.
-            let listed = self.servers.get(&running.server);
-            let had_announced = listed.is_some_and(|server| server.leaving)
-                || self
-                    .coordinator
-                    .is_leaving_boot(&running.server, running.boot);
-            if crashed && !had_announced {
-                let hash = suspect::server_hash(&running.server, running.boot);
-                self.suspects.record_strike(self.now, fingerprint, hash);
-                let text = format!(
-                    "Request {id} was running on server {} (boot {}) when the server crashed, {} \
-                     tokens generated, prompt parts {}.",
-                    running.server,
-                    running.boot,
-                    running.generated,
-                    parts::part_names(&job.request.parts)
-                );
-                let request = job.request.clone();
-                self.log("suspect", true, text);
-                self.broadcast_strike(fingerprint, hash);
-                if parts::is_opening(running.generated) {
-                    self.record_part_crash(&request, hash);
-                }
-            }
+        if let Some(running) = job.running().cloned() {
+            self.record_lost_attempt(id, &running, crashed);
         }
         if self.restore_silent(id) || self.resume_from_copy(id) {
             return;
@@ -595,6 +569,40 @@
         }
     }
 
+    /// Records that a server lost an attempt while it ran. If it crashed, that counts against the
+    /// request and the parts of its prompt.
+    pub(crate) fn record_lost_attempt(&mut self, id: RequestId, lost: &Running, crashed: bool) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.avoid(&lost.server);
+        // A server that had announced that it leaves was not crashed by this request, so no strike
+        // is recorded.
+        let listed = self.servers.get(&lost.server);
+        let had_announced = listed.is_some_and(|server| server.leaving)
+            || self.coordinator.is_leaving_boot(&lost.server, lost.boot);
+        if !crashed || had_announced {
+            return;
+        }
+        let request = job.request.clone();
+        let hash = suspect::server_hash(&lost.server, lost.boot);
+        self.suspects
+            .record_strike(self.now, request.fingerprint, hash);
+        let text = format!(
+            "Request {id} was running on server {} (boot {}) when the server crashed, {} tokens \
+             generated, prompt parts {}.",
+            lost.server,
+            lost.boot,
+            lost.generated,
+            parts::part_names(&request.parts)
+        );
+        self.log("suspect", true, text);
+        self.broadcast_strike(request.fingerprint, hash);
+        if parts::is_opening(lost.generated) {
+            self.record_part_crash(&request, hash);
+        }
+    }
+
     /// Ends a job whose request was running on too many servers that crashed. An attempt that is
     /// only silent goes on, like any that was running when the request was barred.
     pub(crate) fn end_barred(&mut self, id: RequestId) {
--- a/crates/core/src/reports.rs
+++ b/crates/core/src/reports.rs
@@ -173,7 +173,11 @@
         self.jobs
             .values()
             .filter(|job| job.route.pool == *pool)
-            .filter_map(|job| Some((job, job.running()?)))
+            .flat_map(|job| {
+                let silent = job.silent.as_ref().map(|silent| &silent.running);
+                let running = job.running().into_iter().chain(silent);
+                running.map(move |running| (job, running))
+            })
             .filter(|(_, running)| running.data_centre == *data_centre)
             .map(|(job, running)| Item::Running {
                 attempt: running.attempt,
--- a/crates/core/src/silence.rs
+++ b/crates/core/src/silence.rs
@@ -61,12 +61,13 @@
                 false
             }
             Event::Accepted | Event::FirstToken | Event::NotCopied | Event::Silent { .. } => false,
-            Event::Refused
-            | Event::Unreachable
-            | Event::Failed
-            | Event::Lost { .. }
-            | Event::Diverged { .. } => {
-                self.drop_silent(id, End::Crashed);
+            Event::Lost { crashed, delivered } => {
+                self.record_delivered(id, *delivered);
+                self.on_silent_lost(id, *crashed);
+                false
+            }
+            Event::Refused | Event::Unreachable | Event::Failed | Event::Diverged { .. } => {
+                self.drop_silent(id, End::Failed);
                 false
             }
         }
@@ -133,6 +134,22 @@
         true
     }
 
+    /// Handles a silent attempt whose connection has ended. The attempt in its place goes on alone.
+    fn on_silent_lost(&mut self, id: RequestId, crashed: bool) {
+        let silent = self.jobs.get(&id).and_then(|job| job.silent.clone());
+        let Some(Silent { running, .. }) = silent else {
+            return;
+        };
+        self.health.record(self.now, &running.server, false);
+        let end = if crashed {
+            End::Crashed
+        } else {
+            End::Cancelled
+        };
+        self.drop_silent(id, end);
+        self.record_lost_attempt(id, &running, crashed);
+    }
+
     /// Cancels the attempt that is tried in place of a silent one, which has spoken again.
     fn resume_silent(&mut self, id: RequestId) {
         let running = self.jobs.get(&id).and_then(Job::running);
--- a/crates/core/tests/silence.rs
+++ b/crates/core/tests/silence.rs
@@ -142,6 +142,18 @@
     );
 }
 
+#[test]
+fn crash_of_a_silent_server_counts_like_any_other() {
+    let lost = Event::Lost {
+        crashed: true,
+        delivered: DELIVERED,
+    };
+    let (mut driver, first, second) = silent_request(&["a", "b", "c"]);
+    driver.event(&first, lost);
+    assert!(has_strike(&driver));
+    assert_eq!(driver.running_attempt(1), second.attempt);
+}
+
 #[test]
 fn request_ends_once_the_silent_attempt_and_the_one_in_its_place_are_lost() {
     let lost = Event::Lost {
