Grant a copy's place although no server answers its probes

A reservation that resumes a generation at its copy was denied when every server of the pool had missed a probe, which a silence of 0.7 s does: the check for open servers came first, though the grant itself does not need one. A stream that had lost its server ended although its copy was sound. copy_is_resumed_from_although_no_server_answers_its_probes failed before. Found by review.

--- a/crates/admit/src/scheduler.rs
+++ b/crates/admit/src/scheduler.rs
@@ -233,10 +233,6 @@
             self.queue.refresh(attempt, now + RESERVATION_LIFETIME);
             return answer(Decision::Queued { wait: expected });
         }
-        if !self.servers.values().any(|server| server.is_open(now)) {
-            let retry = RETRY_DELAY_MIN;
-            return answer(self.deny(attempt, Denial::NoServer, retry));
-        }
         let max_wait = Duration::from_millis(u64::from(reservation.wait_ms));
         let waiting = QueuedReservation {
             holder,
@@ -253,6 +249,10 @@
             };
             return answer(decision);
         }
+        if !self.servers.values().any(|server| server.is_open(now)) {
+            let retry = RETRY_DELAY_MIN;
+            return answer(self.deny(attempt, Denial::NoServer, retry));
+        }
         let may_skip_queue = self.queue.is_empty() || max_wait.is_zero();
         if may_skip_queue {
             let mut occupancies = self.take_occupancies(now);
--- a/crates/admit/tests/placing.rs
+++ b/crates/admit/tests/placing.rs
@@ -435,3 +435,20 @@
     let replies = scheduler.reserve(later, HOLDER, at_once(attempt + 1), QUOTA);
     assert_eq!(grants(&replies).len(), 1);
 }
+
+#[test]
+fn copy_is_resumed_from_although_no_server_answers_its_probes() {
+    let (mut scheduler, _) = scheduler(2, Duration::ZERO);
+    for server in ["e0", "e1"] {
+        scheduler.record_unreachable(START, server);
+    }
+    let now = START + Duration::from_millis(100);
+    let replies = scheduler.reserve(now, HOLDER, reservation(1, 900, 300), QUOTA);
+    assert!(grants(&replies).is_empty());
+    let resumed = Reservation {
+        resume_server: Some("e1".into()),
+        ..reservation(2, 900, 300)
+    };
+    let replies = scheduler.reserve(now, HOLDER, resumed, QUOTA);
+    assert_eq!(grants(&replies).len(), 1);
+}
