List the version of each server's software

Servers of several software versions may serve one service side by side, and a stream may go on only at the version that began it. The list now carries it between instances, which changes the encoding of frames.

A server whose software changes counts as restarted in the log, which names the software.

--- a/crates/core/src/coordinator.rs
+++ b/crates/core/src/coordinator.rs
@@ -215,9 +215,16 @@
         let mut lines = Vec::new();
         for (name, server) in servers {
             let known = self.servers.get(name);
-            if known.is_none_or(|known| known.boot != server.boot) {
+            let is_same_start = |known: &ListedServer| {
+                (known.boot, &known.software) == (server.boot, &server.software)
+            };
+            if !known.is_some_and(is_same_start) {
+                let software = match server.software.is_empty() {
+                    true => "unknown",
+                    false => server.software.as_str(),
+                };
                 lines.push(format!(
-                    "Server {name} of {} was added or restarted",
+                    "Server {name} of {} (software {software}) was added or restarted",
                     server.label
                 ));
             }
--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -175,6 +175,7 @@
                 )
                     .into(),
                 boot: 1,
+                software: Name::default(),
                 leaving: false,
                 reclaimed: false,
                 cold_left_ms: 0,
--- a/crates/core/tests/driver/mod.rs
+++ b/crates/core/tests/driver/mod.rs
@@ -80,6 +80,7 @@
         label: "engines".into(),
         address: ([127, 0, 0, last_byte], 80).into(),
         boot,
+        software: Name::default(),
         leaving: false,
         reclaimed: false,
         cold_left_ms: 0,
--- a/crates/core/tests/listing.rs
+++ b/crates/core/tests/listing.rs
@@ -10,6 +10,7 @@
 use wigeon_core::Settings;
 use wigeon_core::Source;
 use wire::Frame;
+use wire::Name;
 use wire::server_list::Server;
 use wire::server_list::ServerListUpdate;
 
@@ -29,6 +30,8 @@
     reads: Vec<u32>,
     /// Number of reads of the list that each instance has tried.
     calls: Vec<u32>,
+    /// Lines that the instances have logged about the list.
+    logged: Vec<String>,
 }
 
 fn server(name: &str) -> Server {
@@ -38,6 +41,7 @@
         label: "engines".into(),
         address: ([127, 0, 0, 1], 80).into(),
         boot: 1,
+        software: Name::default(),
         leaving: false,
         reclaimed: false,
         cold_left_ms: 0,
@@ -59,6 +63,7 @@
             now: Duration::from_secs(1),
             disconnected: None,
             revision: 0,
+            logged: Vec::new(),
         };
         for index in 0..fleet.instances.len() {
             fleet.input(index, Input::List(listed.clone()));
@@ -70,8 +75,17 @@
         let outputs = self.instances[index].handle(self.now, WALL + self.now, input);
         let from = self.instances[index].id();
         for output in outputs {
-            let Output::Send { address, body, .. } = output else {
-                continue;
+            let (address, body) = match output {
+                Output::Send { address, body, .. } => (address, body),
+                Output::Log {
+                    target: "list",
+                    text,
+                    ..
+                } => {
+                    self.logged.push(text);
+                    continue;
+                }
+                _ => continue,
             };
             let to = self.instances.iter().position(|instance| {
                 instance
@@ -133,6 +147,11 @@
         }
     }
 
+    /// Returns whether an instance has logged a line about the list that begins with a text.
+    fn has_logged(&self, text: &str) -> bool {
+        self.logged.iter().any(|line| line.starts_with(text))
+    }
+
     /// Returns the server names that each instance has, with `-` after those of leaving servers.
     fn server_lists(&self) -> Vec<Vec<String>> {
         let names_of = |instance: &Instance| {
@@ -176,6 +195,30 @@
     );
 }
 
+#[test]
+fn changed_software_of_a_server_reaches_all_instances_and_is_logged() {
+    let mut fleet = Fleet::new(3);
+    let mut servers = vec![server("a"), server("b")];
+    servers[0].software = "v1".into();
+    fleet.advance(Duration::from_secs(2), &servers, &[]);
+    let logged = "Server a of engines (software v1) was added or restarted";
+    assert!(fleet.has_logged(logged), "{:?}", fleet.logged);
+    let logged = "Server b of engines (software unknown) was added or restarted";
+    assert!(fleet.has_logged(logged), "{:?}", fleet.logged);
+
+    servers[0].software = "v2".into();
+    fleet.advance(Duration::from_secs(1), &servers, &[]);
+    for instance in &fleet.instances {
+        let software: Vec<&str> = instance
+            .servers()
+            .map(|server| server.software.as_str())
+            .collect();
+        assert_eq!(software, ["v2", ""]);
+    }
+    let logged = "Server a of engines (software v2) was added or restarted";
+    assert!(fleet.has_logged(logged), "{:?}", fleet.logged);
+}
+
 #[test]
 fn reader_that_the_store_refuses_is_replaced_and_receives_the_list() {
     let mut fleet = Fleet::new(3);
--- a/crates/core/tests/spill.rs
+++ b/crates/core/tests/spill.rs
@@ -8,6 +8,7 @@
 
 use conf::Config;
 use conf::Delivery;
+use conf::Name;
 use conf::Pool;
 use conf::Route;
 use wigeon_core::Input;
@@ -49,6 +50,7 @@
         label: "engines".into(),
         address: ([127, 0, 0, 1], port).into(),
         boot: 1,
+        software: Name::default(),
         leaving: false,
         reclaimed: false,
         cold_left_ms: 0,
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -177,6 +177,7 @@
             leaving: entry.leaving,
             reclaimed: entry.reclaimed,
             boot: 0,
+            software: CompactString::default(),
             cold_left_ms: 0,
         })
     }
--- a/crates/soak/src/simulation/backend.rs
+++ b/crates/soak/src/simulation/backend.rs
@@ -402,6 +402,7 @@
             leaving: false,
             reclaimed: false,
             boot: 0,
+            software: Name::default(),
             cold_left_ms: 0,
         };
         let server = Server {
--- a/crates/wire/src/server_list.rs
+++ b/crates/wire/src/server_list.rs
@@ -53,6 +53,8 @@
     pub address: SocketAddr,
     /// Boot id of the server, or zero if the platform does not provide it.
     pub boot: BootId,
+    /// Version of the server's software; empty if it is not known.
+    pub software: Name,
     /// Whether the server will shut down soon.
     pub leaving: bool,
     /// Whether the server will shut down before a long answer could complete on it.
