Admit at servers of a required software version

A reservation may require the software version that began its stream. It is granted only at servers that have this version, and so is one that resumes at the server of a replica. A version that is not known fits no requirement; that holds also after a restart, until the list shows the new boot. A reservation that no open server can serve is denied at once, a queued one when the last such server goes.

Reservations that wait for a full version don't hold up others: each required version has its own limit of reservations tried in a pass, and the expected wait of others leaves them out. A suspect one waits only for stable servers of its version.

The encoding of frames changes. The instances make no use of the requirement yet.

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -12,6 +12,7 @@
 //!
 //! - the server accepts requests ([`server`]): it is not shutting down, not drained and has not
 //!   just refused a request,
+//! - the server has the software version that the reservation requires, if it requires one,
 //! - the number of requests on the server stays within its limit, which starts at the cold limit
 //!   after every restart and grows with completed requests ([`server`]),
 //! - the predicted peak of the server's KV cache stays within its capacity less a margin
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -20,8 +20,8 @@
 const WAITING_MAX: usize = 4_096;
 /// Maximum number of queued reservations per class and organisation.
 const WAITING_PER_ORGANISATION_MAX: usize = 1_024;
-/// Maximum number of reservations per class and organisation that are tried for a grant in one
-/// pass.
+/// Maximum number of reservations per class, organisation and required software that are tried for
+/// a grant in one pass.
 const TRIED_PER_ORGANISATION_MAX: usize = 8;
 
 /// One queued reservation.
@@ -62,14 +62,33 @@
 }
 
 impl Flow {
-    /// Returns the number of queued reservations that are not suspect. Suspect ones wait for a
-    /// server without other suspects and do not delay the reservations behind them.
-    fn non_suspect_len(&self) -> usize {
+    /// Returns the number of queued reservations that delay a new one with this requirement of
+    /// software. Suspect ones wait for a server without other suspects, and those that require
+    /// software wait for servers that have it. Neither delay other reservations behind them.
+    fn delaying_len(&self, software: Option<&Name>) -> usize {
         self.waiting
             .iter()
-            .filter(|waiting| !waiting.reservation.suspect)
+            .map(|waiting| &waiting.reservation)
+            .filter(|reservation| !reservation.suspect)
+            .filter(|reservation| {
+                reservation.software.is_none() || reservation.software.as_ref() == software
+            })
             .count()
     }
+
+    /// Returns the reservations that are tried for a grant, oldest first. Each requirement of
+    /// software has a limit of its own, so that reservations that wait for servers with one version
+    /// do not block those behind them.
+    fn tried(&self) -> impl Iterator<Item = &QueuedReservation> {
+        let mut counts: BTreeMap<Option<&Name>, usize> = BTreeMap::new();
+        self.waiting.iter().filter(move |waiting| {
+            let count = counts
+                .entry(waiting.reservation.software.as_ref())
+                .or_default();
+            *count += 1;
+            *count <= TRIED_PER_ORGANISATION_MAX
+        })
+    }
 }
 
 impl Queue {
@@ -132,12 +151,20 @@
     /// Removes and returns all reservations that are past their deadline or were not repeated in
     /// time.
     pub fn expire(&mut self, now: Time) -> Vec<QueuedReservation> {
-        let expired: Vec<AttemptId> = self
+        self.remove_where(|waiting| waiting.deadline <= now || waiting.repeat_by <= now)
+    }
+
+    /// Removes and returns all reservations for which a predicate holds.
+    pub fn remove_where(
+        &mut self,
+        predicate: impl Fn(&QueuedReservation) -> bool,
+    ) -> Vec<QueuedReservation> {
+        let found: Vec<AttemptId> = self
             .iter()
-            .filter(|waiting| waiting.deadline <= now || waiting.repeat_by <= now)
+            .filter(|waiting| predicate(waiting))
             .map(|waiting| waiting.reservation.attempt)
             .collect();
-        expired
+        found
             .into_iter()
             .filter_map(|attempt| self.remove(attempt))
             .collect()
@@ -155,7 +182,7 @@
 
     /// Calls `try_grant` on the reservations in service order until it returns `true`, then
     /// removes, charges and returns that reservation. Only the oldest few reservations of each
-    /// class and organisation are tried.
+    /// class, organisation and required software are tried.
     pub fn take_first(
         &mut self,
         mut try_grant: impl FnMut(&QueuedReservation) -> bool,
@@ -170,14 +197,21 @@
         Some(waiting)
     }
 
-    /// Returns the expected number of reservations, suspect ones excluded, that are served before a
-    /// new one of this class and organisation, given the current weights.
-    pub fn ahead(&self, level: u8, organisation: &str, weight: f64) -> f64 {
+    /// Returns the expected number of reservations that are served before a new one of this class,
+    /// organisation and required software, given the current weights. Reservations that don't delay
+    /// it are excluded: suspect ones and those that require other software.
+    pub fn ahead(
+        &self,
+        level: u8,
+        organisation: &str,
+        weight: f64,
+        software: Option<&Name>,
+    ) -> f64 {
         let earlier_classes: usize = self
             .classes
             .range(..level)
             .flat_map(|(_, class)| class.organisations.values())
-            .map(Flow::non_suspect_len)
+            .map(|flow| flow.delaying_len(software))
             .sum();
         let Some(class) = self.classes.get(&level) else {
             return earlier_classes as f64;
@@ -185,13 +219,13 @@
         let own_waiting = class
             .organisations
             .get(organisation)
-            .map_or(0, Flow::non_suspect_len);
+            .map_or(0, |flow| flow.delaying_len(software));
         let rounds = (own_waiting as f64 + 1.0) / weight;
         let other_organisations: f64 = class
             .organisations
             .iter()
             .filter(|(name, _)| *name != organisation)
-            .map(|(_, flow)| (rounds * flow.weight).min(flow.non_suspect_len() as f64))
+            .map(|(_, flow)| (rounds * flow.weight).min(flow.delaying_len(software) as f64))
             .sum();
         earlier_classes as f64 + own_waiting as f64 + other_organisations
     }
@@ -210,9 +244,9 @@
             .flat_map(|flow| &flow.waiting)
     }
 
-    /// Returns the oldest few reservations of each organisation, by class and virtual time. Trying
-    /// more than one keeps a suspect reservation, which waits for a server without other suspects,
-    /// from blocking those behind it.
+    /// Returns the reservations that are tried for a grant, by class and virtual time. Trying more
+    /// than one of an organisation keeps a suspect reservation, which waits for a server without
+    /// other suspects, from blocking those behind it.
     fn in_service_order(&self) -> impl Iterator<Item = &QueuedReservation> {
         self.classes.values().flat_map(|class| {
             let mut flows: Vec<&Flow> = class
@@ -221,9 +255,7 @@
                 .filter(|flow| !flow.waiting.is_empty())
                 .collect();
             flows.sort_by(|a, b| a.virtual_time.total_cmp(&b.virtual_time));
-            flows
-                .into_iter()
-                .flat_map(|flow| flow.waiting.iter().take(TRIED_PER_ORGANISATION_MAX))
+            flows.into_iter().flat_map(Flow::tried)
         })
     }
 
@@ -292,6 +324,7 @@
                 suspect: false,
                 wait_ms: 1_000,
                 resume_server: None,
+                software: None,
             },
             deadline: Duration::from_secs(9),
             repeat_by: Duration::from_secs(9),
@@ -347,7 +380,7 @@
         let mut suspect = waiting(1, "a", 1, 1.0);
         suspect.reservation.suspect = true;
         queue.push(suspect);
-        assert!(queue.ahead(1, "a", 1.0) < f64::EPSILON);
+        assert!(queue.ahead(1, "a", 1.0, None) < f64::EPSILON);
         queue.push(waiting(2, "a", 1, 1.0));
         let served = queue.take_first(|waiting| !waiting.reservation.suspect);
         assert_eq!(served.map(|waiting| waiting.reservation.attempt), Some(2));
@@ -359,7 +392,7 @@
         queue.push(waiting(1, "a", 2, 1.0));
         queue.push(waiting(2, "a", 0, 1.0));
         assert_eq!(queue.take_first(|_| true).unwrap().reservation.attempt, 2);
-        assert!(queue.ahead(0, "a", 1.0) < queue.ahead(2, "a", 1.0));
+        assert!(queue.ahead(0, "a", 1.0, None) < queue.ahead(2, "a", 1.0, None));
     }
 
     #[test]
--- a/crates/admit/src/scheduler.rs
+++ b/crates/admit/src/scheduler.rs
@@ -249,9 +249,8 @@
             };
             return answer(decision);
         }
-        if !self.servers.values().any(|server| server.is_open(now)) {
-            let retry = RETRY_DELAY_MIN;
-            return answer(self.deny(attempt, Denial::NoServer, retry));
+        if !self.has_server_for(now, &waiting.reservation) {
+            return answer(self.deny(attempt, Denial::NoServer, RETRY_DELAY_MIN));
         }
         let may_skip_queue = self.queue.is_empty() || max_wait.is_zero();
         if may_skip_queue {
@@ -360,14 +359,11 @@
         }
     }
 
-    /// Expires grants and reservations, then serves the queue. If no server is open, every queued
-    /// reservation is denied.
+    /// Expires grants and reservations, then serves the queue. Queued reservations that no open
+    /// server may run are denied.
     pub fn tick(&mut self, now: Time) -> Vec<Reply> {
         self.expire_assignments(now);
-        let mut replies: Vec<Reply> = Vec::new();
-        if !self.servers.values().any(|server| server.is_open(now)) {
-            replies.extend(self.deny_all_waiting());
-        }
+        let mut replies = self.deny_unservable(now);
         let expired = self.queue.expire(now);
         for waiting in expired {
             let retry = self.expected_wait(&waiting.reservation);
@@ -456,10 +452,18 @@
         replies
     }
 
-    /// Denies every queued reservation, because no server is open.
-    fn deny_all_waiting(&mut self) -> Vec<Reply> {
-        let waiting = self.queue.drain();
-        waiting
+    /// Returns whether any open server may run a reservation.
+    fn has_server_for(&self, now: Time, reservation: &Reservation) -> bool {
+        self.open_servers_for(now, reservation).next().is_some()
+    }
+
+    /// Denies the queued reservations that no open server may run.
+    fn deny_unservable(&mut self, now: Time) -> Vec<Reply> {
+        let mut queue = std::mem::take(&mut self.queue);
+        let unservable =
+            queue.remove_where(|waiting| !self.has_server_for(now, &waiting.reservation));
+        self.queue = queue;
+        unservable
             .into_iter()
             .map(|waiting| Reply {
                 holder: waiting.holder,
@@ -488,11 +492,11 @@
         Some(self.assign(now, &name, waiting, occupancies))
     }
 
-    /// Grants a reservation on the server that holds the generation's replica. Capacity is not
-    /// checked, since the replica already occupies the memory.
+    /// Grants a reservation on the server that holds the generation's replica, if that server has the
+    /// required software. Capacity is not checked, since the replica already occupies the memory.
     fn grant_on(&mut self, now: Time, name: &Name, waiting: &QueuedReservation) -> Option<Grant> {
         let server = self.servers.get(name)?;
-        if server.listing.drained {
+        if server.listing.drained || !server.has_software(waiting.reservation.software.as_ref()) {
             return None;
         }
         let mut occupancies = self.take_occupancies(now);
@@ -607,9 +611,10 @@
             .quotas
             .get(organisation)
             .map_or(1.0, |quota| quota.weight);
+        let software = reservation.software.as_ref();
         let ahead = self
             .queue
-            .ahead(reservation.work.class, organisation, weight);
+            .ahead(reservation.work.class, organisation, weight, software);
         if self.service_rate <= 0.0 || ahead == 0.0 {
             return Duration::ZERO;
         }
--- a/crates/admit/src/scheduler/selection.rs
+++ b/crates/admit/src/scheduler/selection.rs
@@ -97,10 +97,16 @@
         remaining: u32,
     ) -> Option<f64> {
         let server = &self.servers[name];
+        if !server.has_software(reservation.software.as_ref()) {
+            return None;
+        }
         if !self.accepts_grants(now, server) {
             return None;
         }
-        if reservation.suspect && server.has_crashed_recently(now) && self.has_stable_server(now) {
+        if reservation.suspect
+            && server.has_crashed_recently(now)
+            && self.has_stable_server(now, reservation)
+        {
             return None;
         }
         if reservation.suspect && occupancy.has_suspect_on_probation {
@@ -136,11 +142,28 @@
             && !server.is_at_cold_rate(now, &self.pool)
     }
 
-    /// Returns whether any open server has not crashed recently. A suspect request waits for such a
-    /// server, since a crash that it did not cause would add to the suspicion.
-    fn has_stable_server(&self, now: Time) -> bool {
-        let mut servers = self.servers.values();
-        servers.any(|server| server.is_open(now) && !server.has_crashed_recently(now))
+    /// Returns the open servers that a reservation may wait for. One that requires a software
+    /// version waits only for servers that have it and that it does not avoid.
+    pub(super) fn open_servers_for(
+        &self,
+        now: Time,
+        reservation: &Reservation,
+    ) -> impl Iterator<Item = &Server> {
+        let software = reservation.software.as_ref();
+        let is_excluded = move |name: &Name| software.is_some() && reservation.avoid.contains(name);
+        self.servers
+            .iter()
+            .filter(move |(name, server)| {
+                server.is_open(now) && server.has_software(software) && !is_excluded(name)
+            })
+            .map(|(_, server)| server)
+    }
+
+    /// Returns whether any open server for a reservation has not crashed recently. A suspect request
+    /// waits for such a server, since a crash that it did not cause would add to the suspicion.
+    fn has_stable_server(&self, now: Time, reservation: &Reservation) -> bool {
+        self.open_servers_for(now, reservation)
+            .any(|server| !server.has_crashed_recently(now))
     }
 
     /// Returns whether [`GRANT_SPACING`] has passed since the last grant on an engine. Processing a
--- a/crates/admit/src/scheduler/tests.rs
+++ b/crates/admit/src/scheduler/tests.rs
@@ -24,6 +24,7 @@
     (0..count)
         .map(|index| Listing {
             boot: 0,
+            software: Name::default(),
             cold_time: Duration::ZERO,
             name: format!("e{index}").as_str().into(),
             address: ([127, 0, 0, 1], index).into(),
@@ -51,6 +52,7 @@
         suspect: false,
         wait_ms: 5_000,
         resume_server: None,
+        software: None,
     }
 }
 
--- a/crates/admit/src/server.rs
+++ b/crates/admit/src/server.rs
@@ -48,6 +48,8 @@
     pub address: SocketAddr,
     /// Boot id, or zero if the platform does not report it.
     pub boot: BootId,
+    /// Version of the server's software; empty if it is not known.
+    pub software: Name,
     /// Time for which the server stays cold, counted from when it is listed.
     pub cold_time: Duration,
     /// Whether the server is about to shut down.
@@ -184,6 +186,20 @@
         self.boot
     }
 
+    /// Returns the version of the server's software, empty if the platform does not list it. `None`
+    /// if the list still shows another boot, which may have had another version.
+    pub fn software(&self) -> Option<&Name> {
+        let listed = self.listing.boot;
+        let is_listed_boot = listed == 0 || self.boot == 0 || listed == self.boot;
+        is_listed_boot.then_some(&self.listing.software)
+    }
+
+    /// Returns whether the server has the software version that a reservation requires, if it
+    /// requires one. A version that is not known fits no requirement.
+    pub fn has_software(&self, required: Option<&Name>) -> bool {
+        required.is_none_or(|required| !required.is_empty() && self.software() == Some(required))
+    }
+
     /// Returns the maximum number of concurrent requests on the server.
     pub fn limit(&self) -> u32 {
         self.limit as u32
@@ -350,6 +366,7 @@
             name: "e".into(),
             address: ([127, 0, 0, 1], 1).into(),
             boot: 0,
+            software: Name::default(),
             cold_time: Duration::ZERO,
             leaving: false,
             drained: false,
--- a/crates/admit/tests/placing.rs
+++ b/crates/admit/tests/placing.rs
@@ -11,6 +11,7 @@
 use admit::Scheduler;
 use admit::scheduler::Quota;
 use conf::Pool;
+use wire::Name;
 use wire::admission::Grant;
 use wire::admission::Item;
 use wire::admission::Report;
@@ -41,6 +42,7 @@
         name: format!("e{index}").as_str().into(),
         address: ([127, 0, 0, 1], 1_000 + index as u16).into(),
         boot: 1,
+        software: Name::default(),
         cold_time,
         leaving: false,
         drained: false,
@@ -74,6 +76,7 @@
         suspect: false,
         wait_ms: 1_000,
         resume_server: None,
+        software: None,
     }
 }
 
--- a/crates/core/src/coordinator.rs
+++ b/crates/core/src/coordinator.rs
@@ -365,6 +365,7 @@
                 name: server.name.clone(),
                 address: server.address,
                 boot: server.boot,
+                software: server.software.clone(),
                 cold_time: Duration::from_millis(u64::from(server.cold_left_ms)),
                 leaving: server.leaving
                     || self.coordinator.is_leaving_boot(&server.name, server.boot),
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -400,6 +400,7 @@
                 .resume_from
                 .as_ref()
                 .map(|copy| copy.endpoint.server.clone()),
+            software: None,
         };
         if coordinator == self.id() {
             self.on_reservation(coordinator, reservation);
--- a/crates/wire/src/admission.rs
+++ b/crates/wire/src/admission.rs
@@ -38,6 +38,9 @@
     /// is to resume. The reservation is granted there at once or denied. `None` if any server will
     /// do.
     pub resume_server: Option<Name>,
+    /// The software version that the server must have, since the attempt continues a stream that
+    /// this version began. `None` if any will do.
+    pub software: Option<Name>,
 }
 
 /// Address and boot of a backend server.
