Keep replicas only at the version of their original

A generation could not go on at a replica of another software version. The version is recorded with the assignment, so that a generation on a server that was removed from the list still gets a replica at its version. Where no versions are listed, replicas are kept as before.

--- a/crates/admit/src/scheduler.rs
+++ b/crates/admit/src/scheduler.rs
@@ -30,6 +30,7 @@
 use self::assignments::CANCELLED_RETENTION;
 use self::occupancy::KeptOccupancies;
 use self::occupancy::Occupancies;
+use self::replicas::Original;
 use self::replicas::REPLICA_MEMORY_SHARE_MAX;
 use self::selection::GRANT_SPACING;
 use crate::queue::Queue;
@@ -516,15 +517,20 @@
     ) -> Grant {
         let reservation = &waiting.reservation;
         let remaining = self.expected_remaining(&reservation.work, 0);
-        let original = (name, &reservation.work, remaining);
+        let server = &self.servers[name];
+        let original = Original {
+            server: name,
+            software: server.software(),
+            work: &reservation.work,
+            length: remaining,
+        };
         let replica = self.choose_replica_server(
             now,
-            original,
+            &original,
             &reservation.avoid,
             REPLICA_MEMORY_SHARE_MAX,
             occupancies,
         );
-        let server = &self.servers[name];
         let grant = Grant {
             attempt: reservation.attempt,
             server: name.clone(),
@@ -536,6 +542,7 @@
         };
         let assignment = Assignment {
             server: name.clone(),
+            software: server.software().cloned(),
             holder: waiting.holder,
             work: reservation.work.clone(),
             replica,
--- a/crates/admit/src/scheduler/assignments.rs
+++ b/crates/admit/src/scheduler/assignments.rs
@@ -32,6 +32,9 @@
 #[derive(Clone, Debug)]
 pub(super) struct Assignment {
     pub(super) server: Name,
+    /// Version of the server's software when the assignment was made. `None` if the list did not
+    /// show the server, or showed another boot.
+    pub(super) software: Option<Name>,
     pub(super) holder: InstanceId,
     pub(super) work: Work,
     /// Server that holds a replica of the generation's memory.
@@ -81,11 +84,14 @@
                 replica,
             } => {
                 let remaining = self.expected_remaining(work, *generated);
+                let servers = &self.servers;
+                let software = || servers.get(server)?.software().cloned();
                 let assignment = self
                     .assignments
                     .entry(*attempt)
                     .or_insert_with(|| Assignment {
                         server: server.clone(),
+                        software: software(),
                         holder,
                         work: work.clone(),
                         replica: replica.clone(),
--- a/crates/admit/src/scheduler/replicas.rs
+++ b/crates/admit/src/scheduler/replicas.rs
@@ -41,6 +41,26 @@
 /// 500 ms old, and a full server finishes a generation about once a second.
 const REPLICA_REFUSAL_BACKOFF: Duration = Duration::from_millis(300);
 
+/// A generation that is to get a replica.
+pub(super) struct Original<'a> {
+    /// Server that runs the generation.
+    pub(super) server: &'a Name,
+    /// Version of that server's software, `None` if it is not known which boot runs the generation.
+    pub(super) software: Option<&'a Name>,
+    /// Load of the generation.
+    pub(super) work: &'a Work,
+    /// Expected length of the output in tokens.
+    pub(super) length: u32,
+}
+
+impl Original<'_> {
+    /// Returns whether a server has the version that runs the generation. Servers without a listed
+    /// version count as equal, so that replicas don't depend on the listing of versions.
+    fn fits_software(&self, other: &Server) -> bool {
+        self.software.is_some() && other.software() == self.software
+    }
+}
+
 impl Scheduler {
     /// Returns the running attempts that get a new replica now, with their holder and the
     /// destination. These are attempts without a replica, for example because no server had memory
@@ -83,13 +103,14 @@
             } else {
                 REPLICA_MEMORY_SHARE_MAX
             };
-            let original = (
-                &assignment.server,
-                &assignment.work,
-                assignment.generated + assignment.remaining,
-            );
+            let original = Original {
+                server: &assignment.server,
+                software: self.software_of(&assignment),
+                work: &assignment.work,
+                length: assignment.generated + assignment.remaining,
+            };
             let Some(replica) =
-                self.choose_replica_server(now, original, &[], share_max, &occupancies)
+                self.choose_replica_server(now, &original, &[], share_max, &occupancies)
             else {
                 continue;
             };
@@ -117,28 +138,40 @@
             .is_some_and(|until| now < *until)
     }
 
-    /// Returns the best server for a replica of a generation: the one with the least memory in use,
-    /// whose predicted peak stays within `share_max` so that replicas do not block admission.
+    /// Returns the software version that runs an assignment. A server that is no longer listed may
+    /// still run it.
+    fn software_of<'a>(&'a self, assignment: &'a Assignment) -> Option<&'a Name> {
+        let listed = || self.servers.get(&assignment.server)?.software();
+        assignment.software.as_ref().or_else(listed)
+    }
+
+    /// Returns the best server for a replica of a generation: the one with the least memory in use
+    /// among those with the generation's software version, whose predicted peak stays within
+    /// `share_max` so that replicas do not block admission.
     pub(super) fn choose_replica_server(
         &self,
         now: Time,
-        (server, work, length): (&Name, &Work, u32),
+        original: &Original,
         avoid: &[Name],
         share_max: f64,
         occupancies: &Occupancies,
     ) -> Option<Name> {
-        if !self.pool.copies || work.expected_tokens < REPLICA_TOKENS_MIN {
+        if !self.pool.copies || original.work.expected_tokens < REPLICA_TOKENS_MIN {
             return None;
         }
         let mut best: Option<(f64, Name)> = None;
         for (name, other) in &self.servers {
-            if name == server || avoid.contains(name) || !other.is_open(now) {
+            if name == original.server || avoid.contains(name) || !other.is_open(now) {
+                continue;
+            }
+            if !original.fits_software(other) {
                 continue;
             }
             if self.has_refused_replica(now, name) {
                 continue;
             }
             let occupancy = &occupancies[name];
+            let (work, length) = (original.work, original.length);
             let Some(share) = self.memory_share(other, occupancy, work, length, share_max) else {
                 continue;
             };
--- a/crates/admit/src/server.rs
+++ b/crates/admit/src/server.rs
@@ -187,11 +187,11 @@
     }
 
     /// Returns the version of the server's software, empty if the platform does not list it. `None`
-    /// if the list still shows another boot, which may have had another version.
+    /// if the listed version is that of another boot.
     pub fn software(&self) -> Option<&Name> {
-        let listed = self.listing.boot;
-        let is_listed_boot = listed == 0 || self.boot == 0 || listed == self.boot;
-        is_listed_boot.then_some(&self.listing.software)
+        let Listing { boot, software, .. } = &self.listing;
+        let is_listed_boot = *boot == 0 || self.boot == 0 || *boot == self.boot;
+        (is_listed_boot || software.is_empty()).then_some(software)
     }
 
     /// Returns whether the server has the software version that a reservation requires, if it
--- a/crates/admit/tests/software.rs
+++ b/crates/admit/tests/software.rs
@@ -42,6 +42,7 @@
         batch: BATCH,
         cold_limit: BATCH,
         memory_tokens: 100_000,
+        copies: true,
         ..Pool::default()
     }
 }
@@ -147,6 +148,27 @@
         grants(&replies).remove(0).server
     }
 
+    /// Makes a reservation that is granted at once, whose attempt then runs without a replica.
+    fn start_unprotected(&mut self, reservation: Reservation) {
+        let attempt = reservation.attempt;
+        self.granted(reservation);
+        self.report(Item::Progress {
+            attempt,
+            generated: 8,
+        });
+        self.scheduler.record_replica_refused(self.now, attempt);
+        // The refusal keeps the server from getting another replica for a time.
+        self.now += Duration::from_secs(1);
+    }
+
+    /// Returns the servers that get a replica of an attempt now.
+    fn replica_servers(&mut self, attempt: AttemptId) -> Vec<Name> {
+        self.now += Duration::from_millis(200);
+        let orders = self.scheduler.order_replicas(self.now);
+        let orders = orders.into_iter().filter(|(_, found, _)| *found == attempt);
+        orders.map(|(_, _, endpoint)| endpoint.server).collect()
+    }
+
     fn configure(&mut self) {
         self.now += STEP;
         self.scheduler.configure(self.now, &pool(), &self.listings);
@@ -158,16 +180,20 @@
     }
 
     fn end(&mut self, attempt: AttemptId, end: End) {
+        self.report(Item::Ended {
+            attempt,
+            end,
+            generated: 10,
+            first_token_ms: 5,
+        });
+    }
+
+    fn report(&mut self, item: Item) {
         let report = Report {
             pool: "p".into(),
             seq: 1,
             full: false,
-            items: vec![Item::Ended {
-                attempt,
-                end,
-                generated: 10,
-                first_token_ms: 5,
-            }],
+            items: vec![item],
         };
         self.scheduler.apply_report(self.now, HOLDER, &report);
     }
@@ -351,3 +377,67 @@
     };
     assert_eq!(fleet.granted(suspect), "e0");
 }
+
+#[test]
+fn replicas_are_kept_only_at_the_version_of_the_original() {
+    let mut fleet = Fleet::new(&["", "v1", "v2", "v1", "v2"]);
+    for (attempt, software, servers) in [(1, "v1", ["e1", "e3"]), (2, "v2", ["e2", "e4"])] {
+        let grant = grants(&fleet.reserve(bound(attempt, software))).remove(0);
+        let replica = grant.replica.expect("there is memory for a replica").server;
+        assert_ne!(grant.server, replica);
+        assert!(servers.contains(&replica.as_str()), "{replica}");
+    }
+}
+
+#[test]
+fn generation_gets_no_replica_without_another_server_of_its_version() {
+    let mut fleet = Fleet::new(&["v1", "v2", "", "v2"]);
+    let grant = grants(&fleet.reserve(bound(1, "v1"))).remove(0);
+    assert_eq!(grant.replica, None);
+    fleet.start_unprotected(bound(2, "v1"));
+    assert_eq!(fleet.replica_servers(2), [""; 0]);
+
+    // The server gets no replica until the list shows which version its boot has.
+    fleet.listings.push(listing(4, "v1"));
+    fleet.configure();
+    let load = Load {
+        boot: 2,
+        ..Load::default()
+    };
+    fleet.scheduler.record_load(fleet.now, "e4", load);
+    assert_eq!(fleet.replica_servers(2), [""; 0]);
+    fleet.listings[4].boot = 2;
+    fleet.configure();
+    assert_eq!(fleet.replica_servers(2), ["e4"]);
+}
+
+#[test]
+fn generation_on_a_removed_server_gets_a_replica_at_its_version() {
+    let mut fleet = Fleet::new(&["v1", "v2", "v2", "v1"]);
+    fleet.listings[3].drained = true;
+    fleet.configure();
+    fleet.start_unprotected(bound(1, "v1"));
+    fleet.listings[3].drained = false;
+    fleet.listings.remove(0);
+    fleet.configure();
+    assert_eq!(fleet.replica_servers(1), ["e3"]);
+}
+
+#[test]
+fn replicas_are_kept_where_no_versions_are_listed() {
+    let mut fleet = Fleet::new(&["", "", "v1"]);
+    fleet.listings[2].drained = true;
+    fleet.configure();
+    let grant = grants(&fleet.reserve(any(1))).remove(0);
+    let replica = grant.replica.expect("there is memory for a replica").server;
+    assert_ne!(grant.server, replica);
+    assert_ne!(replica, "e2");
+
+    let load = Load {
+        boot: 2,
+        ..Load::default()
+    };
+    fleet.scheduler.record_load(fleet.now, &replica, load);
+    let grant = grants(&fleet.reserve(any(2))).remove(0);
+    assert!(grant.replica.is_some(), "a restart changes nothing");
+}
