--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -58,6 +58,8 @@
 pub type Fingerprint = u64;
 /// Hash that identifies a part of prompts, for example a template that many requests share.
 pub type PartId = u64;
+/// Hash of the id of the caller's attempt that began a stream of events.
+pub type StreamId = u64;
 /// Hash of an idempotency key with its organisation and route.
 pub type Key = u128;
 /// Version number of the configuration.
