Continue streams only at the software version that began them

What callers saw: streams held events of two software versions, in one answer after a break, from a copy that was kept at another version, and when they took a stream up again at any instance.

Cause: no part of the system knew the version of a server, nor that a request continues a stream that it names. Any server of the pool was taken. Class of fault: work that is bound to where it began is placed like new work.

With the first event the instance records the stream's origin (pool and version), sends it to two other instances and binds all further attempts to it. A request that continues a stream is traced first: in the own records, at the probable holders, or by a list that has shown one version all along. It is refused with 503 if that fails or no server of the version is in service. The version is checked at the coordinator and, with the server's boot, again before the request is sent.

Ruled out: an outdated list (the servers of the recorded case had been listed for 29 and 34 s).

--- a/crates/core/src/baseline.rs
+++ b/crates/core/src/baseline.rs
@@ -13,6 +13,7 @@
 use wire::admission::Grant;
 
 use crate::instance::Instance;
+use crate::job::Job;
 use crate::job::Phase;
 use crate::message::ListedServer;
 use crate::message::Output;
@@ -45,7 +46,7 @@
         let Some(pool) = self.config().pools.get(&pool_name).cloned() else {
             return;
         };
-        let mut servers = self.eligible_servers(&pool_name, &pool);
+        let mut servers = self.eligible_servers(job, &pool);
         if servers.iter().any(|server| !avoid.contains(&server.name)) {
             servers.retain(|server| !avoid.contains(&server.name));
         }
@@ -72,7 +73,7 @@
             return false;
         };
         let own = self.own_data_centre();
-        let mut servers = self.eligible_servers(&pool_name, &pool);
+        let mut servers = self.eligible_servers(job, &pool);
         servers.retain(|server| server.data_centre == own && !avoid.contains(&server.name));
         let live = self.members.live(&own).count().max(1);
         let share = pool.batch as usize / 2 / live;
@@ -105,10 +106,10 @@
         is_recent && is_warm && load.running + load.waiting < pool.batch
     }
 
-    /// Returns the servers of a pool that may take work: those of the own data centre if there are
+    /// Returns the servers that may take a job of a pool: those of the own data centre if there are
     /// any and the policy is not [`Policy::LeastLoaded`], else those of all data centres.
-    fn eligible_servers(&self, pool_name: &Name, pool: &Pool) -> Vec<ListedServer> {
-        let available = self.available_servers(pool_name, pool);
+    fn eligible_servers(&self, job: &Job, pool: &Pool) -> Vec<ListedServer> {
+        let available = self.available_servers(job, pool);
         let own = self.own_data_centre();
         let local: Vec<ListedServer> = available
             .iter()
--- a/crates/core/src/claims.rs
+++ b/crates/core/src/claims.rs
@@ -162,7 +162,7 @@
         match status {
             ClaimStatus::Fresh => {
                 job.claimed = true;
-                self.start_placement(id);
+                self.trace_or_place(id);
             }
             ClaimStatus::Done(answer) => {
                 job.phase = Phase::Waiting;
--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -55,6 +55,11 @@
             Body::Strikes { strikes } => self.merge_strikes(&strikes),
             Body::PartFindings { findings } => self.on_part_findings(&findings),
             Body::Leaving { servers } => self.on_leaving_servers(&servers),
+            Body::StreamBegun { stream, origin } => {
+                self.on_origin_found(from, stream, Some(origin));
+            }
+            Body::FindOrigin { stream } => self.on_find_origin(from, stream),
+            Body::OriginFound { stream, origin } => self.on_origin_found(from, stream, origin),
             Body::Reserve(reservation) => self.on_reservation(from, reservation),
             Body::Grant(grant) => {
                 self.on_decision(from, grant.attempt, Decision::Grant(grant), age);
--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -34,6 +34,7 @@
 use crate::message::ListedServer;
 use crate::message::Output;
 use crate::notices::Backoffs;
+use crate::origins::Origins;
 use crate::parts::SuspectParts;
 use crate::placement::ServerCounts;
 use crate::settings::Settings;
@@ -92,8 +93,9 @@
     pub(crate) list_state: ListState,
     /// Number of changes of the server list and the configuration so far.
     pub(crate) list_changes: u64,
-    /// The last counts of servers, by pool.
-    pub(crate) server_counts: BTreeMap<Name, ServerCounts>,
+    /// The last counts of servers, by pool and required software version.
+    pub(crate) server_counts: BTreeMap<(Name, Option<Name>), ServerCounts>,
+    pub(crate) origins: Origins,
     pub(crate) health: Health,
     pub(crate) backoffs: Backoffs,
     pub(crate) jobs: BTreeMap<RequestId, Job>,
@@ -144,6 +146,7 @@
             list_state: ListState::default(),
             list_changes: 0,
             server_counts: BTreeMap::new(),
+            origins: Origins::default(),
             health: Health::default(),
             backoffs: Backoffs::default(),
             jobs: BTreeMap::new(),
@@ -347,6 +350,7 @@
             config.document
         );
         self.log("config", false, text);
+        self.record_route_labels(&config);
         self.out.push(Output::Config(config));
         self.refresh_coordinators();
         self.push_changes(before);
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -9,6 +9,7 @@
 use wire::Name;
 use wire::admission::AVOID_MAX;
 use wire::admission::Work;
+use wire::origin::Origin;
 
 use crate::message::Replica;
 use crate::message::Request;
@@ -27,6 +28,8 @@
         /// Claims sent to the shard's coordinator since its last answer.
         tries: u32,
     },
+    /// The job continues a stream and waits for the stream's origin.
+    Tracing(Tracing),
     /// The job is looking for a place on a server.
     Placing(Placement),
     /// The job waits before its next attempt.
@@ -42,6 +45,13 @@
     pub tries: u32,
 }
 
+/// The search for the origin of a stream.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Tracing {
+    /// Instances that were asked and have not answered.
+    pub asked: Vec<InstanceId>,
+}
+
 /// The search for a place on a server.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Placement {
@@ -86,6 +96,8 @@
     pub boot: u64,
     /// Data centre of the server.
     pub data_centre: Name,
+    /// Version of the server's software; empty if it is not known.
+    pub software: Name,
     /// When the attempt was dispatched.
     pub dispatched_at: Time,
     /// Time from dispatch to the first token, or `None` until that token arrives.
@@ -140,6 +152,8 @@
     pub attempts: u32,
     /// The copy of a lost generation's KV memory from which the next attempt resumes.
     pub resume_from: Option<Replica>,
+    /// Where the job's stream began, or `None` before its first event.
+    pub origin: Option<Origin>,
     /// The attempt whose server is silent, while another one is tried in its place.
     pub silent: Option<Silent>,
     /// Priority class for admission; zero is the most urgent.
@@ -173,6 +187,7 @@
             last_unreachable: false,
             attempts: 0,
             resume_from: None,
+            origin: None,
             silent: None,
             class,
             possible_runs: 0,
@@ -196,6 +211,12 @@
         self.route.idempotent || !self.may_have_run()
     }
 
+    /// Returns the software version that a server must have to run the job, if the job's stream has
+    /// begun.
+    pub fn required_software(&self) -> Option<&Name> {
+        self.origin.as_ref().map(|origin| &origin.software)
+    }
+
     /// Returns whether a server holds the copy from which the generation is to resume.
     pub fn has_copy_at(&self, server: &str) -> bool {
         self.resume_from
@@ -275,6 +296,7 @@
         match self.phase {
             Phase::Claiming(_) => "claiming",
             Phase::Joining { .. } => "joining",
+            Phase::Tracing(_) => "tracing",
             Phase::Placing(_) => "seeking",
             Phase::Waiting => "waiting",
             Phase::Running(_) => "running",
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -43,6 +43,7 @@
 //! - `reports`: reports of running attempts to the coordinators of their pools.
 //! - `claims`: claiming and settling idempotency keys.
 //! - `copies`: copies of running generations' KV memory, and resuming from them.
+//! - `origins`: continuing streams only at the software version that began them.
 //! - `silence`: attempts whose server is silent.
 //! - `local`: choosing a server without a coordinator, for lightly loaded plain services.
 //! - `listing`: the list of backend servers and its distribution within a data centre.
@@ -68,6 +69,7 @@
 pub mod message;
 mod notices;
 mod orders;
+mod origins;
 pub mod outcome;
 mod parts;
 mod placement;
@@ -88,6 +90,7 @@
 pub use crate::message::Request;
 pub use crate::message::ServerNotice;
 pub use crate::message::ServerReport;
+pub use crate::message::Stream;
 pub use crate::outcome::Failure;
 pub use crate::outcome::Outcome;
 pub use crate::outcome::Refusal;
--- a/crates/core/src/lifecycle.rs
+++ b/crates/core/src/lifecycle.rs
@@ -27,6 +27,7 @@
 use crate::message::Output;
 use crate::message::Replica;
 use crate::message::Request;
+use crate::origins::is_of_version;
 use crate::outcome::Outcome;
 use crate::outcome::Reason;
 use crate::outcome::Refusal;
@@ -112,7 +113,7 @@
         } else if needs_claim {
             self.send_claim(id);
         } else {
-            self.start_placement(id);
+            self.trace_or_place(id);
         }
     }
 
@@ -197,6 +198,7 @@
             Phase::Running(_) => {}
             _ if past_deadline => self.end_unplaced(id),
             Phase::Claiming(_) | Phase::Joining { .. } => self.send_claim(id),
+            Phase::Tracing(_) => self.on_tracing_timer(id),
             Phase::Placing(_) => self.on_placement_timer(id),
             Phase::Waiting => self.retry(id),
         }
@@ -221,6 +223,7 @@
         }
         let reason = match &self.jobs[&id].phase {
             Phase::Claiming(_) => Reason::NoLedger,
+            Phase::Tracing(_) => Reason::UnknownOrigin,
             Phase::Joining { .. } => Reason::KeyInUse,
             Phase::Placing(placement) => match placement.denial {
                 Some(wire::admission::Denial::Limited) => Reason::Limited,
@@ -246,6 +249,7 @@
         } else {
             self.boot_may_take_work(data_centre, &grant.server, grant.boot)
         };
+        let eligible = eligible && self.may_continue_at(id, &grant.server, grant.boot);
         if !eligible {
             return false;
         }
@@ -264,6 +268,7 @@
         let hard_deadline = job.hard_deadline;
         let silence = job.silent.as_ref().map(|silent| silent.silence);
         let list = self.list_position();
+        let software = self.software_of(&grant.server, grant.boot);
         let Some(job) = self.jobs.get_mut(&id) else {
             return false;
         };
@@ -271,6 +276,7 @@
             attempt: grant.attempt,
             server: grant.server.clone(),
             boot: grant.boot,
+            software: software.clone(),
             data_centre: data_centre.clone(),
             dispatched_at: self.now,
             first_token: None,
@@ -293,6 +299,7 @@
             server: grant.server.clone(),
             address: grant.address,
             boot: grant.boot,
+            software,
             priority: grant.priority,
             rerun,
             copy: grant.replica.clone(),
@@ -328,12 +335,13 @@
             && self.backoffs.until(self.now, server).is_none()
     }
 
-    /// Returns the servers of a pool that may be given new work now, in all data centres.
-    pub(crate) fn available_servers(&self, pool_name: &str, pool: &Pool) -> Vec<ListedServer> {
-        let label = pool.label(pool_name);
+    /// Returns the servers of a job's pool that may be given the job now, in all data centres.
+    pub(crate) fn available_servers(&self, job: &Job, pool: &Pool) -> Vec<ListedServer> {
+        let label = pool.label(&job.route.pool);
+        let software = job.required_software();
         self.servers
             .values()
-            .filter(|server| server.label == label)
+            .filter(|server| server.label == label && is_of_version(server, software))
             .filter(|server| self.may_take_work(&server.data_centre, &server.name))
             .cloned()
             .collect()
@@ -383,7 +391,10 @@
         }
         match event {
             Event::Accepted => self.replace_silent(id),
-            Event::FirstToken => self.on_first_token(id),
+            Event::FirstToken => {
+                self.record_origin(id);
+                self.on_first_token(id);
+            }
             Event::Progress {
                 generated,
                 delivered,
--- a/crates/core/src/listing.rs
+++ b/crates/core/src/listing.rs
@@ -226,6 +226,7 @@
         {
             self.install_servers(servers);
         }
+        self.record_listed_software();
         if is_restored {
             self.distrust_removed_servers();
         }
@@ -319,6 +320,7 @@
         if has_changes && (servers != self.servers || !self.has_server_list) {
             self.install_servers(servers);
         }
+        self.record_listed_software();
         if is_restored {
             self.distrust_removed_servers();
         }
--- a/crates/core/src/local.rs
+++ b/crates/core/src/local.rs
@@ -41,7 +41,7 @@
         let Some(pool) = self.config().pools.get(&pool_name) else {
             return;
         };
-        let available = self.available_servers(&pool_name, pool);
+        let available = self.available_servers(job, pool);
         // Servers that this request avoids, or that any request recently failed to reach, come
         // last.
         let is_avoided = |server: &ListedServer| {
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -15,6 +15,7 @@
 use wire::Name;
 use wire::PartId;
 use wire::RequestId;
+use wire::StreamId;
 use wire::admission::Endpoint;
 pub use wire::server_list::Server as ListedServer;
 use wire::server_list::ServerListUpdate;
@@ -47,6 +48,19 @@
     pub expected_tokens: Option<u32>,
     /// Time from arrival after which the caller has no use for an answer, if it set a deadline.
     pub timeout: Option<Duration>,
+    /// The stream of events that the request asks for, on a platform whose streams are bound to the
+    /// software version that began them.
+    pub stream: Option<Stream>,
+}
+
+/// The stream of events that a request asks for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Stream {
+    /// A new stream, named after this request.
+    New(StreamId),
+    /// The rest of a stream that an earlier request of the caller began, which is `None` if the
+    /// caller does not name it.
+    Rest(Option<StreamId>),
 }
 
 /// An event in the course of an attempt.
@@ -303,6 +317,8 @@
     pub address: SocketAddr,
     /// Expected boot id of the server, or zero if not known.
     pub boot: BootId,
+    /// Version of the server's software, for the log; empty if it is not known.
+    pub software: Name,
     /// Priority for the engine's scheduler.
     pub priority: u8,
     /// Whether this attempt runs the request again: an earlier attempt was dispatched and is not
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -31,6 +31,8 @@
     Barred,
     /// A part of the request's prompt crashes backend servers.
     PartBarred,
+    /// The request continues a stream, and the software version that began it is not known.
+    UnknownOrigin,
     /// The output of a new attempt differed from what was already delivered.
     Diverged,
     /// The caller disconnected.
@@ -58,6 +60,7 @@
             Reason::RetriesSpent => "retries-spent",
             Reason::Barred => "barred",
             Reason::PartBarred => "part-barred",
+            Reason::UnknownOrigin => "unknown-origin",
             Reason::Diverged => "diverged",
             Reason::Cancelled => "cancelled",
             Reason::ServerError => "server-error",
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -22,9 +22,11 @@
 use wire::admission::Reservation;
 
 use crate::instance::Instance;
+use crate::job::Job;
 use crate::job::PendingReservation;
 use crate::job::Phase;
 use crate::job::Placement;
+use crate::origins::is_of_version;
 use crate::outcome::Reason;
 use crate::settings::Policy;
 
@@ -207,7 +209,8 @@
         };
         let tried = placement.tried.clone();
         let pool = self.jobs[&id].route.pool.clone();
-        let candidates = self.candidates(&pool);
+        let software = self.jobs[&id].required_software().cloned();
+        let candidates = self.candidates(&pool, software.as_ref());
         let Some(data_centre) = self.choose_data_centre(&candidates, &tried) else {
             self.on_no_candidate_left(id, &candidates, &tried);
             return;
@@ -292,7 +295,7 @@
     pub(crate) fn end_if_pool_is_closed(&mut self, id: RequestId) -> bool {
         let job = &self.jobs[&id];
         // Without a list it is not known which servers there are.
-        if self.has_server_list && !self.has_server_in_service(&job.route.pool) {
+        if self.has_server_list && !self.has_server_in_service(job) {
             self.end(id, Reason::NoServer, Some(NO_SERVER_RETRY_AFTER));
             return true;
         }
@@ -307,22 +310,28 @@
         true
     }
 
-    /// Returns whether any server of a pool takes work now or after a backoff.
-    fn has_server_in_service(&self, pool_name: &str) -> bool {
-        let Some(pool) = self.config().pools.get(pool_name) else {
+    /// Returns whether any server takes a job now or after a backoff.
+    fn has_server_in_service(&self, job: &Job) -> bool {
+        let Some(pool) = self.config().pools.get(&job.route.pool) else {
             return false;
         };
-        let label = pool.label(pool_name);
+        let label = pool.label(&job.route.pool);
+        let software = job.required_software();
         self.servers
             .values()
-            .filter(|server| server.label == label)
+            .filter(|server| server.label == label && is_of_version(server, software))
             .any(|server| self.would_take_work(&server.data_centre, &server.name))
     }
 
-    /// Returns the data centres that have servers of a pool, with what is known of each.
-    pub(crate) fn candidates(&mut self, pool: &str) -> BTreeMap<Name, Candidate> {
+    /// Returns the data centres that have servers of a pool and of the required software version, if
+    /// there is one, with what is known of each.
+    pub(crate) fn candidates(
+        &mut self,
+        pool: &str,
+        software: Option<&Name>,
+    ) -> BTreeMap<Name, Candidate> {
         let mut candidates: BTreeMap<Name, Candidate> = self
-            .server_counts(pool)
+            .server_counts(pool, software)
             .into_iter()
             .map(|(data_centre, servers)| {
                 let candidate = Candidate {
@@ -344,14 +353,16 @@
     /// Returns how many servers of a pool may take work in each data centre that has any. The counts
     /// may be [`COUNT_LIFETIME`] old, so that a placement's cost does not grow with the list; every
     /// dispatch checks its server anew.
-    fn server_counts(&mut self, pool: &str) -> BTreeMap<Name, usize> {
+    fn server_counts(&mut self, pool: &str, software: Option<&Name>) -> BTreeMap<Name, usize> {
+        let key = (Name::from(pool), software.cloned());
+        let (now, list_changes) = (self.now, self.list_changes);
         let is_valid = |counts: &ServerCounts| {
-            counts.list_changes == self.list_changes
-                && self.now.saturating_sub(counts.counted_at) < COUNT_LIFETIME
+            counts.list_changes == list_changes
+                && now.saturating_sub(counts.counted_at) < COUNT_LIFETIME
         };
         if let Some(counts) = self
             .server_counts
-            .get(pool)
+            .get(&key)
             .filter(|counts| is_valid(counts))
         {
             return counts.by_data_centre.clone();
@@ -361,7 +372,11 @@
         };
         let label = found.label(pool);
         let mut by_data_centre: BTreeMap<Name, usize> = BTreeMap::new();
-        for server in self.servers.values().filter(|server| server.label == label) {
+        let servers = self.servers.values();
+        for server in servers.filter(|server| server.label == label) {
+            if !is_of_version(server, software) {
+                continue;
+            }
             let count = by_data_centre
                 .entry(server.data_centre.clone())
                 .or_default();
@@ -372,7 +387,8 @@
             list_changes: self.list_changes,
             by_data_centre: by_data_centre.clone(),
         };
-        self.server_counts.insert(pool.into(), counts);
+        self.server_counts.retain(|_, counts| is_valid(counts));
+        self.server_counts.insert(key, counts);
         by_data_centre
     }
 
@@ -400,7 +416,7 @@
                 .resume_from
                 .as_ref()
                 .map(|copy| copy.endpoint.server.clone()),
-            software: None,
+            software: job.required_software().cloned(),
         };
         if coordinator == self.id() {
             self.on_reservation(coordinator, reservation);
@@ -524,7 +540,8 @@
         let pool = job.route.pool.clone();
         let mut tried = placement.tried.clone();
         tried.push(main.data_centre);
-        let mut candidates = self.candidates(&pool);
+        let software = self.jobs[&id].required_software().cloned();
+        let mut candidates = self.candidates(&pool, software.as_ref());
         candidates.retain(|name, _| !self.coordinator.was_recently_full(name, &pool, self.now));
         let Some(data_centre) = self.choose_data_centre(&candidates, &tried) else {
             return;
@@ -576,13 +593,18 @@
         let pool = self.jobs[&id].route.pool.clone();
         // A queued job sends spill reservations repeatedly, so a data centre that denied a spill
         // reservation for any reason is skipped for a while.
-        if denial == Denial::Full || kind == ReservationKind::Spill {
+        // For a job that is bound to a software version the denial says little about other jobs.
+        let is_bound = self.jobs[&id].required_software().is_some();
+        if (denial == Denial::Full || kind == ReservationKind::Spill) && !is_bound {
             self.coordinator
                 .status_mut(&reservation.data_centre, &pool)
                 .last_full = Some(self.now);
         }
         if kind == ReservationKind::Spill {
-            self.reserve_spill(id);
+            // A bound job asks again when its main reservation is refreshed.
+            if !is_bound {
+                self.reserve_spill(id);
+            }
             return;
         }
         if let Some(Phase::Placing(placement)) = self.jobs.get_mut(&id).map(|job| &mut job.phase) {
--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -487,6 +487,7 @@
             max_tokens: None,
             expected_tokens: Some(120),
             timeout: Some(Duration::from_secs(39)),
+            stream: None,
         };
         let index = self.rng.usize(..INSTANCES);
         self.input(index, Input::Request(request));
--- a/crates/core/tests/driver/mod.rs
+++ b/crates/core/tests/driver/mod.rs
@@ -203,6 +203,7 @@
             max_tokens: None,
             expected_tokens: Some(900),
             timeout: Some(Duration::from_secs(39)),
+            stream: None,
         }
     }
 
--- a/crates/core/tests/spill.rs
+++ b/crates/core/tests/spill.rs
@@ -164,6 +164,7 @@
             max_tokens: None,
             expected_tokens: Some(100),
             timeout: Some(Duration::from_secs(39)),
+            stream: None,
         };
         self.input(0, Input::Request(request));
     }
--- a/crates/exchange/src/codec.rs
+++ b/crates/exchange/src/codec.rs
@@ -13,6 +13,7 @@
 use wigeon_core::Handle;
 use wigeon_core::Outcome;
 use wigeon_core::ServerNotice;
+use wigeon_core::Stream;
 use wigeon_core::message::Dispatch;
 use wire::PartId;
 use wire::admission::Endpoint;
@@ -40,6 +41,8 @@
     pub shared_parts: Vec<PartId>,
     /// Id of the last event that the caller has received, if it resumes a stream.
     pub last_event_id: Option<u64>,
+    /// The stream of events that the request asks for, or `None` on a route without streams.
+    pub stream: Option<Stream>,
     /// The caller's header fields that are forwarded to a backend server unchanged.
     pub forwarded_headers: HeaderMap,
 }
--- a/crates/exchange/src/relay.rs
+++ b/crates/exchange/src/relay.rs
@@ -237,6 +237,7 @@
             max_tokens: meta.max_tokens,
             expected_tokens: meta.expected_tokens,
             timeout: meta.caller_timeout,
+            stream: meta.stream,
         };
         let timeouts = [meta.caller_timeout, route.timeout()];
         let deadline = timeouts
@@ -566,6 +567,7 @@
             id = self.meta.caller_request_id.as_str(),
             server = dispatch.server.as_str(),
             life = dispatch.boot,
+            software = dispatch.software.as_str(),
             attempt = self.attempts,
             copy = copy,
             resumes = dispatch.resume_from.is_some(),
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -300,6 +300,7 @@
         max_tokens: None,
         expected_tokens: None,
         timeout: None,
+        stream: None,
     }
 }
 
@@ -508,6 +509,7 @@
         | Reason::NoLedger
         | Reason::RetriesSpent
         | Reason::PartBarred
+        | Reason::UnknownOrigin
         | Reason::Leaving => StatusCode::SERVICE_UNAVAILABLE,
         Reason::KeyInUse | Reason::KeyUnknown => StatusCode::CONFLICT,
         Reason::Barred => StatusCode::UNPROCESSABLE_ENTITY,
@@ -532,6 +534,7 @@
         Reason::RetriesSpent => "the request has used up its allowed attempts",
         Reason::Barred => "the request crashed the backend servers that ran it",
         Reason::PartBarred => "a part of the prompt crashes the backend servers that run it",
+        Reason::UnknownOrigin => "the software version that began the stream is not known",
         Reason::Diverged => "no further attempt could continue the answer with the same tokens",
         Reason::Cancelled => "the caller disconnected",
         Reason::ServerError => "the backend server reported an error",
--- a/crates/origin/src/table.rs
+++ b/crates/origin/src/table.rs
@@ -1,32 +1,30 @@
-//! The records of an instance: at which software version each stream began.
+//! The records of an instance: where each stream began.
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use clock::Time;
-use wire::Name;
 use wire::StreamId;
+use wire::origin::Origin;
 
 /// Lifetime of a record, which is longer than a caller continues a stream.
 pub const RETENTION: Duration = Duration::from_secs(120);
 /// Maximum number of records that a table keeps.
 pub const RECORDS_MAX: usize = 65_536;
 
-/// Outcome of recording the software version of a stream.
+/// Outcome of recording the origin of a stream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Outcome {
     /// The stream had no record. It has one now.
     Recorded,
-    /// The stream has a record of the same version.
+    /// The stream has a record of the same origin.
     Known,
-    /// The stream has a record of another version, which is kept.
+    /// The stream has a record of another origin, which is kept.
     Conflicting,
 }
 
-/// Software versions of streams known to one instance.
-///
-/// Versions are compared as they are given. An empty one is no exception.
+/// Origins of streams known to one instance.
 #[derive(Debug, Default)]
 pub struct Table {
     records: BTreeMap<StreamId, Record>,
@@ -36,7 +34,7 @@
 
 #[derive(Debug)]
 struct Record {
-    software: Name,
+    origin: Origin,
     begun_at: Time,
 }
 
@@ -52,12 +50,12 @@
         Table::default()
     }
 
-    /// Records the software version at which a stream began, unless the stream has a record. A
-    /// full table drops its oldest record.
-    pub fn record(&mut self, now: Time, stream: StreamId, software: &Name) -> Outcome {
+    /// Records where a stream began, unless the stream has a record. A full table drops its oldest
+    /// record.
+    pub fn record(&mut self, now: Time, stream: StreamId, origin: &Origin) -> Outcome {
         self.drop_expired(now);
         if let Some(known) = self.records.get(&stream) {
-            return if known.software == *software {
+            return if known.origin == *origin {
                 Outcome::Known
             } else {
                 Outcome::Conflicting
@@ -67,7 +65,7 @@
             self.drop_oldest();
         }
         let record = Record {
-            software: software.clone(),
+            origin: origin.clone(),
             begun_at: now,
         };
         self.records.insert(stream, record);
@@ -75,12 +73,12 @@
         Outcome::Recorded
     }
 
-    /// Returns the software version at which a stream began, or `None` without an unexpired record.
-    pub fn find(&self, now: Time, stream: StreamId) -> Option<&Name> {
+    /// Returns where a stream began, or `None` without an unexpired record.
+    pub fn find(&self, now: Time, stream: StreamId) -> Option<&Origin> {
         self.records
             .get(&stream)
             .filter(|record| !record.is_expired(now))
-            .map(|record| &record.software)
+            .map(|record| &record.origin)
     }
 
     /// Returns the number of records, including expired ones that are not dropped yet.
--- a/crates/origin/tests/table.rs
+++ b/crates/origin/tests/table.rs
@@ -9,21 +9,27 @@
 use origin::table::RETENTION;
 use origin::table::Table;
 use proptest::prelude::*;
-use wire::Name;
 use wire::StreamId;
+use wire::origin::Origin;
 
 const NOW: Time = Duration::from_secs(1_000);
-const V1: Name = Name::const_new("v1");
-const V2: Name = Name::const_new("v2");
+
+/// Returns the origin of a stream that began at a software version.
+fn origin(software: &str) -> Origin {
+    Origin {
+        pool: "engines".into(),
+        software: software.into(),
+    }
+}
 
 #[test]
 fn first_record_of_a_stream_wins() {
     let mut table = Table::new();
     assert_eq!(table.find(NOW, 7), None);
-    assert_eq!(table.record(NOW, 7, &V1), Outcome::Recorded);
-    assert_eq!(table.record(NOW, 7, &V1), Outcome::Known);
-    assert_eq!(table.record(NOW, 7, &V2), Outcome::Conflicting);
-    assert_eq!(table.find(NOW, 7), Some(&V1));
+    assert_eq!(table.record(NOW, 7, &origin("v1")), Outcome::Recorded);
+    assert_eq!(table.record(NOW, 7, &origin("v1")), Outcome::Known);
+    assert_eq!(table.record(NOW, 7, &origin("v2")), Outcome::Conflicting);
+    assert_eq!(table.find(NOW, 7), Some(&origin("v1")));
     assert_eq!(table.find(NOW, 8), None);
 }
 
@@ -31,27 +37,27 @@
 fn record_expires_even_if_it_was_repeated() {
     let mut table = Table::new();
     let last_moment = NOW + RETENTION - Duration::from_millis(1);
-    table.record(NOW, 7, &V1);
-    assert_eq!(table.record(last_moment, 7, &V1), Outcome::Known);
-    assert_eq!(table.find(last_moment, 7), Some(&V1));
+    table.record(NOW, 7, &origin("v1"));
+    assert_eq!(table.record(last_moment, 7, &origin("v1")), Outcome::Known);
+    assert_eq!(table.find(last_moment, 7), Some(&origin("v1")));
     assert_eq!(table.find(NOW + RETENTION, 7), None);
     assert_eq!(
-        table.record(NOW + RETENTION, 7, &V2),
+        table.record(NOW + RETENTION, 7, &origin("v2")),
         Outcome::Recorded,
         "an expired record doesn't conflict"
     );
-    assert_eq!(table.find(NOW + RETENTION, 7), Some(&V2));
+    assert_eq!(table.find(NOW + RETENTION, 7), Some(&origin("v2")));
 }
 
 #[test]
 fn expired_records_are_dropped() {
     let mut table = Table::new();
     for stream in 0..10 {
-        table.record(NOW, stream, &V1);
+        table.record(NOW, stream, &origin("v1"));
     }
-    table.record(NOW + RETENTION / 2, 10, &V1);
+    table.record(NOW + RETENTION / 2, 10, &origin("v1"));
     assert_eq!(table.len(), 11);
-    table.record(NOW + RETENTION, 11, &V1);
+    table.record(NOW + RETENTION, 11, &origin("v1"));
     assert_eq!(table.len(), 2);
 }
 
@@ -60,17 +66,17 @@
     let mut table = Table::new();
     let streams = 0..RECORDS_MAX as StreamId;
     for stream in streams.clone().rev() {
-        table.record(NOW, stream, &V1);
+        table.record(NOW, stream, &origin("v1"));
     }
-    table.record(NOW, 0, &V1);
+    table.record(NOW, 0, &origin("v1"));
     assert_eq!(table.len(), RECORDS_MAX);
-    assert_eq!(table.find(NOW, streams.end - 1), Some(&V1));
+    assert_eq!(table.find(NOW, streams.end - 1), Some(&origin("v1")));
 
-    table.record(NOW, streams.end, &V1);
+    table.record(NOW, streams.end, &origin("v1"));
     assert_eq!(table.len(), RECORDS_MAX);
     assert_eq!(table.find(NOW, streams.end - 1), None);
-    assert_eq!(table.find(NOW, streams.end - 2), Some(&V1));
-    assert_eq!(table.find(NOW, streams.end), Some(&V1));
+    assert_eq!(table.find(NOW, streams.end - 2), Some(&origin("v1")));
+    assert_eq!(table.find(NOW, streams.end), Some(&origin("v1")));
 }
 
 proptest! {
@@ -79,12 +85,12 @@
         operations in proptest::collection::vec((0u64..20_000, 0u64..12, any::<bool>()), 0..200),
     ) {
         let mut table = Table::new();
-        let mut model: BTreeMap<StreamId, (Name, Time)> = BTreeMap::new();
+        let mut model: BTreeMap<StreamId, (Origin, Time)> = BTreeMap::new();
         let mut now = NOW;
         for (elapsed_ms, stream, is_v1) in operations {
             now += Duration::from_millis(elapsed_ms);
             model.retain(|_, (_, at)| now - *at < RETENTION);
-            let software = if is_v1 { V1 } else { V2 };
+            let software = origin(if is_v1 { "v1" } else { "v2" });
             let expected = match model.get(&stream) {
                 None => Outcome::Recorded,
                 Some((known, _)) if *known == software => Outcome::Known,
--- a/crates/soak/src/simulation/load.rs
+++ b/crates/soak/src/simulation/load.rs
@@ -117,6 +117,7 @@
             max_tokens: None,
             expected_tokens: None,
             timeout: None,
+            stream: None,
         };
         self.schedule_input(index, Input::Request(request));
     }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -29,6 +29,7 @@
 //!   attempts.
 //! - [`gossip`]: the states of instances, and small facts sent along with them.
 //! - [`ledger`]: claims on idempotency keys and their outcomes.
+//! - [`origin`]: the origins of streams.
 //! - [`server_list`]: the list of backend servers.
 //! - [`seal`]: encoding and authentication of frames.
 
@@ -41,6 +42,7 @@
 pub mod admission;
 pub mod gossip;
 pub mod ledger;
+pub mod origin;
 pub mod seal;
 pub mod server_list;
 
@@ -263,6 +265,25 @@
         /// The findings.
         findings: Vec<gossip::PartFinding>,
     },
+    /// Sends the origin of a stream that the sender has begun.
+    StreamBegun {
+        /// The stream.
+        stream: StreamId,
+        /// The stream's origin.
+        origin: origin::Origin,
+    },
+    /// Asks for the origin of a stream.
+    FindOrigin {
+        /// The stream.
+        stream: StreamId,
+    },
+    /// Answers a [`Body::FindOrigin`].
+    OriginFound {
+        /// The stream.
+        stream: StreamId,
+        /// The stream's origin, or `None` if the sender does not know it.
+        origin: Option<origin::Origin>,
+    },
 }
 
 /// Error of decoding or checking a frame.
