End a response whose framing never ends

The limit of 64 KiB held up to the end of the head only; the test passed where both were read before the head was handled.

--- a/crates/exchange/src/connection.rs
+++ b/crates/exchange/src/connection.rs
@@ -2,9 +2,13 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,7 +18,10 @@
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
+use hyper::body::Body;
+use hyper::body::Frame;
 use hyper::body::Incoming;
+use hyper::body::SizeHint;
 use hyper::client::conn::http1;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HOST;
@@ -34,9 +41,10 @@
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// Time between two TCP keepalive probes on an idle connection.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-/// Maximum number of bytes that a server may send before the end of its response's head, with
-/// interim responses included.
-const HEAD_BYTES_MAX: usize = 64 * 1_024;
+/// Maximum number of bytes that a server may send without completing a part of its response: the
+/// head, with interim responses included, or more of the body. Chunk sizes and trailers have no
+/// limit of their own.
+const PART_BYTES_MAX: usize = 64 * 1_024;
 /// Buffer size of a connection in bytes, near the minimum that hyper accepts.
 const CONNECTION_BUFFER_BYTES: usize = 16 * 1_024;
 
@@ -61,6 +69,38 @@
     }
 }
 
+/// The body of a server's response.
+#[derive(Debug)]
+pub struct ServerBody {
+    incoming: Incoming,
+    /// Bytes that the server has sent since the last part of its response.
+    received: Arc<AtomicUsize>,
+}
+
+impl Body for ServerBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let frame = ready!(Pin::new(&mut self.incoming).poll_frame(context));
+        if matches!(&frame, Some(Ok(frame)) if frame.is_data()) {
+            self.received.store(0, Ordering::Relaxed);
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.incoming.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.incoming.size_hint()
+    }
+}
+
 /// Opens a connection, sends a request and returns the head of the response. The connection is
 /// closed when the returned guard is dropped.
 ///
@@ -71,20 +111,20 @@
 pub async fn send_request(
     address: SocketAddr,
     request: Request<Full<Bytes>>,
-) -> Result<(ConnectionGuard, Response<Incoming>), ConnectionError> {
+) -> Result<(ConnectionGuard, Response<ServerBody>), ConnectionError> {
     let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
     let stream = match connecting.await {
         Ok(Ok(stream)) => stream,
         Ok(Err(_)) | Err(_) => return Err(ConnectionError::Unreachable),
     };
     detect_dead_peer(&stream);
-    let head_received = Arc::new(AtomicBool::new(false));
-    let is_head_received = head_received.clone();
-    let mut received = 0;
-    // Hyper limits the size of one head but not the number of interim responses.
+    let received = Arc::new(AtomicUsize::new(0));
+    let received_since_part = received.clone();
+    // Hyper limits the size of one head, but not the number of interim responses or the size of
+    // what frames the body.
     let stream = ObservedStream::new(stream, move |read| {
-        received += read;
-        if received > HEAD_BYTES_MAX && !is_head_received.load(Ordering::Relaxed) {
+        let before = received_since_part.fetch_add(read, Ordering::Relaxed);
+        if before + read > PART_BYTES_MAX {
             return Err(io::ErrorKind::InvalidData.into());
         }
         Ok(())
@@ -102,7 +142,8 @@
         .send_request(request)
         .await
         .map_err(|_| ConnectionError::Lost)?;
-    head_received.store(true, Ordering::Relaxed);
+    received.store(0, Ordering::Relaxed);
+    let response = response.map(|incoming| ServerBody { incoming, received });
     Ok((guard, response))
 }
 
--- a/crates/exchange/src/relay/response.rs
+++ b/crates/exchange/src/relay/response.rs
@@ -5,13 +5,13 @@
 use hyper::HeaderMap;
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
 use hyper::header::TRANSFER_ENCODING;
 use hyper::http::response;
 
 use crate::codec::end_to_end_headers;
 use crate::connection::ConnectionGuard;
+use crate::connection::ServerBody;
 use crate::relay::ResponseBody;
 use crate::sse;
 use crate::sse::Parser;
@@ -71,7 +71,7 @@
 
 /// The rest of a response, with the connection that it arrives on.
 pub(super) struct ResponseStream {
-    pub(super) body: Incoming,
+    pub(super) body: ServerBody,
     parser: Parser,
     first: Option<sse::Event>,
     /// Whether an event must come before the end of the stream.
@@ -94,7 +94,7 @@
 impl ResponseStream {
     /// Returns the rest of a response whose head has been read.
     pub(super) fn new(
-        body: Incoming,
+        body: ServerBody,
         guard: ConnectionGuard,
         awaits_event: bool,
     ) -> ResponseStream {
@@ -140,7 +140,7 @@
 /// Waits for the first event of a stream, so that an attempt without any event can be replaced.
 pub(super) async fn await_first_event(
     head: ResponseHead,
-    body: Incoming,
+    body: ServerBody,
     guard: ConnectionGuard,
 ) -> AttemptResult {
     let mut stream = ResponseStream::new(body, guard, false);
@@ -159,7 +159,7 @@
 /// error response of the server.
 pub(super) async fn read_response(
     head: ResponseHead,
-    mut body: Incoming,
+    mut body: ServerBody,
     guard: ConnectionGuard,
     is_error: bool,
 ) -> AttemptResult {
