--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -167,6 +167,10 @@
             "Several servers crashed when they began to answer prompts with a part of this one's, \
              so it is not sent to another one for now."
         }
+        "unknown-origin" => {
+            "The request continues a stream, and no instance in reach knew the software version \
+             that began it, or the route no longer leads to the pool that did. It was not run."
+        }
         "cancelled" => "The caller closed the connection.",
         _ => "See docs/OPERATIONS.md for this reason.",
     };
