Let streams that are taken up wait for the places of their version

When an instance ends, its callers take their streams up at once. Of 17 such requests 13 were denied as overloaded within the same millisecond, though two servers of their version had room: they were queued for the spacing of grants, and the expected wait is derived from the rate of the whole queue, which is near zero after a quiet time.

A reservation that is bound to a version is queued while its servers have places for it and those before it.

--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -237,7 +237,7 @@
             .min()
     }
 
-    fn iter(&self) -> impl Iterator<Item = &QueuedReservation> {
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &QueuedReservation> {
         self.classes
             .values()
             .flat_map(|class| class.organisations.values())
--- a/crates/admit/src/scheduler.rs
+++ b/crates/admit/src/scheduler.rs
@@ -265,7 +265,8 @@
         if max_wait.is_zero() {
             return answer(self.deny(attempt, self.denial_reason(now, &organisation), expected));
         }
-        if expected > max_wait || !self.queue.push(waiting) {
+        let may_wait = expected <= max_wait || self.has_free_place_for(now, &waiting.reservation);
+        if !may_wait || !self.queue.push(waiting) {
             return answer(self.deny(attempt, self.denial_reason(now, &organisation), expected));
         }
         let replies = self.serve_queue(now);
@@ -629,6 +630,28 @@
         Duration::from_secs_f64(seconds)
     }
 
+    /// Returns whether the servers of the software version that a reservation requires have places
+    /// for it and for those queued before it. It then waits for [`selection::GRANT_SPACING`] only,
+    /// which the rate of the whole queue does not show.
+    fn has_free_place_for(&mut self, now: Time, reservation: &Reservation) -> bool {
+        if reservation.software.is_none() {
+            return false;
+        }
+        let occupancies = self.take_occupancies(now);
+        let free: usize = self
+            .open_servers_for(now, reservation)
+            .map(|server| {
+                let occupancy = &occupancies.by_server[&server.listing.name];
+                let running = occupancy.count + self.untracked_requests(server, occupancy);
+                (server.limit() as usize).saturating_sub(running)
+            })
+            .sum();
+        self.keep_occupancies(occupancies);
+        let requires_same =
+            |waiting: &&QueuedReservation| waiting.reservation.software == reservation.software;
+        self.queue.iter().filter(requires_same).count() < free
+    }
+
     fn record_served(&mut self, now: Time) {
         self.decay_service_rate(now);
         self.service_rate += 1.0 / SERVICE_RATE_WINDOW.as_secs_f64();
--- a/crates/admit/src/scheduler/selection.rs
+++ b/crates/admit/src/scheduler/selection.rs
@@ -186,7 +186,7 @@
 
     /// Returns the number of requests in the server's report that this coordinator did not know of
     /// when the report arrived.
-    fn untracked_requests(&self, server: &Server, occupancy: &Occupancy) -> usize {
+    pub(super) fn untracked_requests(&self, server: &Server, occupancy: &Occupancy) -> usize {
         let Some((_, load)) = server.load else {
             return 0;
         };
