Don't hold begun streams for one suspect a server

Streams of a crashed server are suspects, and a server takes one suspect until that has proved itself. Bound to the few servers of their version, 11 of 17 streams were denied after 1.5 s while all new ones began. A request that crashes its servers does so before its first event, so a stream that has begun need not wait for another suspect; two crashes bar it as before.

--- a/crates/admit/src/scheduler/selection.rs
+++ b/crates/admit/src/scheduler/selection.rs
@@ -109,7 +109,10 @@
         {
             return None;
         }
-        if reservation.suspect && occupancy.has_suspect_on_probation {
+        // A request that crashes its servers does so before its first event, so a stream that has
+        // begun waits for no other suspect. Few servers may have its version.
+        let has_begun = reservation.software.is_some();
+        if reservation.suspect && occupancy.has_suspect_on_probation && !has_begun {
             return None;
         }
         let count = occupancy.count + self.untracked_requests(server, occupancy);
