Keep origins at all of a small fleet, and allow for old lists

Two more cases of streams that are taken up, found by review; their tests failed before.

With six of seven instances lost, 120 of 360 streams went on while all new ones began: two holders are too few where nearly all instances may be lost. Of up to nine instances all keep the origins (half_of_the_streams_go_on_at_the_last_instances_of_a_small_fleet).

An instance that is cut off from the store begins streams by its old list. If its records can't cross the cut, a list with one version since then was taken for proof at the others: three of three streams went on at another version.

Also: the search for an origin counts its time from its own start, and a boot that is reported before it is listed is looked up again when its stream begins.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -50,6 +50,8 @@
 pub struct Tracing {
     /// Instances that were asked and have not answered.
     pub asked: Vec<InstanceId>,
+    /// When the search began.
+    pub started_at: Time,
 }
 
 /// The search for a place on a server.
--- a/crates/core/src/origins.rs
+++ b/crates/core/src/origins.rs
@@ -33,6 +33,9 @@
 /// Number of instances of each data centre that are asked for the origin of a stream. With two, one
 /// whose view of the fleet lacks the latest changes still finds the holder.
 const ASKED_PER_DATA_CENTRE: usize = 2;
+/// Greatest number of other instances that all keep the origins of streams. Of so few most may be
+/// lost at once.
+const SMALL_FLEET_MAX: usize = 8;
 /// Time after which instances that have not answered are asked again.
 const ASK_PERIOD: Duration = Duration::from_millis(60);
 /// Time after which they are no longer waited for.
@@ -44,6 +47,9 @@
 const LIST_CHECK_PERIOD: Duration = Duration::from_millis(50);
 /// Time that a stream on a route without a timeout is assumed to last at most.
 const STREAM_TIME_MAX: Duration = Duration::from_secs(60);
+/// Longest time for which an instance that is cut off from the store is assumed to begin streams by
+/// an old list.
+const LIST_AGE_MAX: Duration = Duration::from_secs(30);
 /// Retry-after of a request whose stream's origin is not known.
 const UNKNOWN_ORIGIN_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -73,8 +79,9 @@
             return;
         }
         let asked = stream.map_or(Vec::new(), |stream| self.probable_holders(stream));
+        let started_at = self.now;
         if let Some(job) = self.jobs.get_mut(&id) {
-            job.phase = Phase::Tracing(Tracing { asked });
+            job.phase = Phase::Tracing(Tracing { asked, started_at });
         }
         self.on_tracing_timer(id);
     }
@@ -89,14 +96,14 @@
         else {
             return;
         };
-        let arrived_at = job.arrived_at;
-        let waits = self.now < arrived_at + ASK_TIMEOUT && !tracing.asked.is_empty();
+        let timeout_at = tracing.started_at + ASK_TIMEOUT;
+        let waits = self.now < timeout_at && !tracing.asked.is_empty();
         match stream.filter(|_| waits) {
             Some(stream) => {
                 for to in tracing.asked.clone() {
                     self.send(to, Body::FindOrigin { stream });
                 }
-                let due = (self.now + ASK_PERIOD).min(arrived_at + ASK_TIMEOUT);
+                let due = (self.now + ASK_PERIOD).min(timeout_at);
                 self.set_timer(id, due);
             }
             None => self.trace_by_list(id),
@@ -110,7 +117,9 @@
         let pool = job.route.pool.clone();
         let stream_time = job.route.timeout().unwrap_or(STREAM_TIME_MAX);
         // The request that began the stream and this one may each have taken that long.
-        let since = job.arrived_at.saturating_sub(stream_time * 2);
+        let since = job
+            .arrived_at
+            .saturating_sub(stream_time * 2 + LIST_AGE_MAX);
         let arrived_at = job.arrived_at;
         let history = &self.origins.history;
         let label = self.only_label(&job.request.route, since);
@@ -194,7 +203,16 @@
         let (Some(Stream::New(stream)), None) = (job.request.stream, &job.origin) else {
             return;
         };
-        let Some(software) = job.running().map(|running| running.software.clone()) else {
+        let Some(running) = job.running() else {
+            return;
+        };
+        let (server, boot) = (running.server.clone(), running.boot);
+        let mut software = running.software.clone();
+        if software.is_empty() {
+            // The list may have caught up with a boot that was reported first.
+            software = self.software_of(&server, boot);
+        }
+        let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
         let origin = Origin {
@@ -261,9 +279,12 @@
         }
     }
 
-    /// Returns the instances that keep the origin of a stream begun here: one of the own data
-    /// centre, which a partition leaves in reach, and one of another data centre.
+    /// Returns the instances that keep the origin of a stream begun here: all of a small fleet, or
+    /// one of the own data centre, which a partition leaves in reach, and one of another data centre.
     fn holders(&self, stream: StreamId) -> Vec<InstanceId> {
+        if self.members.running_others().count() <= SMALL_FLEET_MAX {
+            return self.members.running_others().collect();
+        }
         let own = self.own_data_centre();
         let key = holder_key(stream);
         let (near, far): (Vec<InstanceId>, Vec<InstanceId>) = self
