Keep lapsed servers only if the store was away for all

An instance that the store had refused took that for an outage. Its watcher kept the servers that had been removed meanwhile for two seconds, compared with its own items from before the refusal, and the instance published them under the revision just read, so that all others took them over.

The instance decides what to keep: servers of its current list, which lacks what others have removed, and only after a second without a list of any instance, or in a new era. Frames name the kept servers and what is left of the time, each instance removes them by itself, and one in which the list went on does not keep them at all.

--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -228,6 +228,7 @@
             self.settlements.next_wake(),
             self.store.next_wake(),
             self.config.next_wake(),
+            self.list_state.next_wake(),
             Some(self.next_orders),
         ];
         wakes.into_iter().flatten().min()
@@ -399,6 +400,7 @@
 
     /// Runs all periodic work that is due, and sends the store calls that may be sent.
     fn run_timers(&mut self) {
+        self.expire_kept_servers();
         self.tick_jobs();
         self.tick_coordinator();
         self.tick_settlements();
--- a/crates/core/src/listing.rs
+++ b/crates/core/src/listing.rs
@@ -8,8 +8,15 @@
 //! that stops, is disconnected or is refused by the store is replaced within about a second. The one
 //! that has taken over goes on until an instance before it sends a frame again: its own frames keep
 //! only those after it from reading.
+//!
+//! Records may lapse while the store is away although their servers run, and are written again when
+//! it is back. Servers that it then lacks are kept for a grace period, with a mark. Whether it was
+//! away is judged by what all instances of the data centre know: if the list went on while the store
+//! refused this instance, nothing lapsed unseen. Only servers of the current list are kept, which
+//! lacks those whose removal another instance has seen.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use clock::Time;
@@ -45,6 +52,10 @@
 /// Time for which the last frame of a reader is remembered.
 const FRAME_RETENTION: Duration = Duration::from_secs(30);
 
+/// Time without a list, whether read or received, after which the store may have been away for all
+/// instances of the data centre.
+const OUTAGE_MIN: Duration = Duration::from_secs(1);
+
 /// State of following the server list.
 #[derive(Debug, Default)]
 pub(crate) struct ListState {
@@ -66,6 +77,10 @@
     leaving_since: BTreeMap<Name, Time>,
     /// The servers that were removed lately, with their boot and the time of their removal.
     removed: BTreeMap<Name, (BootId, Time)>,
+    /// The servers of the current list that the store lacks.
+    kept: BTreeSet<Name>,
+    /// Until when servers are kept that the store lacks.
+    grace_until: Time,
 }
 
 impl ListState {
@@ -89,6 +104,26 @@
         (self.era, self.revision)
     }
 
+    /// Returns when the kept servers are removed, if there are any.
+    pub(crate) fn next_wake(&self) -> Option<Time> {
+        (!self.kept.is_empty()).then_some(self.grace_until)
+    }
+
+    /// Begins a grace period with a list of an era, unless instances have read the store of this
+    /// era until now.
+    fn begin_grace(&mut self, now: Time, era: Era, grace_ms: u32) {
+        let is_old = |at: Time| now.saturating_sub(at) > OUTAGE_MIN;
+        if era > self.era || self.last_update.is_none_or(is_old) {
+            self.grace_until = now + Duration::from_millis(grace_ms.into());
+        }
+    }
+
+    /// Returns the remaining grace period in milliseconds.
+    fn grace_ms(&self, now: Time) -> u32 {
+        let left = self.grace_until.saturating_sub(now);
+        u32::try_from(left.as_millis()).unwrap_or(u32::MAX)
+    }
+
     /// Records the servers of the current list that a new list lacks.
     pub(crate) fn record_removed(
         &mut self,
@@ -187,17 +222,26 @@
         if (list.era, list.revision) < self.list_state.position() {
             return;
         }
+        if self.has_server_list {
+            self.list_state
+                .begin_grace(self.now, list.era, list.grace_ms);
+        }
         // Changes can only be counted from a revision of the same era.
         let base_revision = match list.era == self.list_state.era {
             true => self.list_state.revision,
             false => 0,
         };
-        let servers: BTreeMap<Name, ListedServer> = list
+        let mut servers: BTreeMap<Name, ListedServer> = list
             .servers
             .into_iter()
             .map(|server| (server.name.clone(), server))
             .collect();
-        let is_changed = |server: &&ListedServer| self.servers.get(&server.name) != Some(*server);
+        let kept = self.keep_lapsed(&mut servers);
+        // A kept server that the store lists again is sent, since receivers have it marked as kept.
+        let is_back = |name: &Name| self.list_state.kept.contains(name) && !kept.contains(name);
+        let is_changed = |server: &&ListedServer| {
+            self.servers.get(&server.name) != Some(*server) || is_back(&server.name)
+        };
         let changed = servers
             .values()
             .filter(|server| base_revision == 0 || is_changed(server))
@@ -215,9 +259,12 @@
             revision: list.revision,
             servers: changed,
             removed,
+            kept: kept.iter().cloned().collect(),
+            grace_ms: self.list_state.grace_ms(self.now),
             config_version: self.config.follower.version(),
             config_digest: self.config.digest(),
         };
+        self.list_state.kept = kept;
         let is_restored = self.record_list_update(self.id(), list.era, list.revision);
         if is_restored
             || !update.servers.is_empty()
@@ -233,6 +280,34 @@
         self.broadcast_list_changes(&update);
     }
 
+    /// Adds the servers of the current list that a list read in the store lacks, if they may have
+    /// lapsed. Returns their names.
+    fn keep_lapsed(&self, servers: &mut BTreeMap<Name, ListedServer>) -> BTreeSet<Name> {
+        let mut kept = BTreeSet::new();
+        if self.now >= self.list_state.grace_until {
+            return kept;
+        }
+        for (name, server) in &self.servers {
+            if !servers.contains_key(name) {
+                servers.insert(name.clone(), server.clone());
+                kept.insert(name.clone());
+            }
+        }
+        kept
+    }
+
+    /// Removes the kept servers whose grace period has ended. All instances know the same period,
+    /// so each removes them by itself.
+    pub(crate) fn expire_kept_servers(&mut self) {
+        if self.now < self.list_state.grace_until || self.list_state.kept.is_empty() {
+            return;
+        }
+        let kept = std::mem::take(&mut self.list_state.kept);
+        let mut servers = self.servers.clone();
+        servers.retain(|name, _| !kept.contains(name));
+        self.install_servers(servers);
+    }
+
     /// Records that the list is current as of a revision. Returns whether the store was restored
     /// from an older copy since the revision before.
     fn record_list_update(&mut self, reader: InstanceId, era: Era, revision: Revision) -> bool {
@@ -304,18 +379,32 @@
             self.send(from, Body::FetchServerList);
             return;
         }
-        let mut servers = match update.base_revision {
-            0 => BTreeMap::new(),
-            _ => self.servers.clone(),
+        self.list_state
+            .begin_grace(self.now, update.era, update.grace_ms);
+        let (mut servers, mut kept) = match update.base_revision {
+            0 => (BTreeMap::new(), BTreeSet::new()),
+            _ => (
+                self.servers.clone(),
+                std::mem::take(&mut self.list_state.kept),
+            ),
         };
-        let has_changes =
-            update.base_revision == 0 || !update.servers.is_empty() || !update.removed.is_empty();
+        let has_changes = update.base_revision == 0
+            || !update.servers.is_empty()
+            || !update.removed.is_empty()
+            || !update.kept.is_empty();
         for server in update.servers {
+            kept.remove(&server.name);
             servers.insert(server.name.clone(), server);
         }
         for name in update.removed {
             servers.remove(&name);
         }
+        kept.extend(update.kept);
+        let is_in_grace = self.now < self.list_state.grace_until;
+        let may_keep = |name: &Name| !self.has_server_list || self.servers.contains_key(name);
+        servers.retain(|name, _| !kept.contains(name) || (is_in_grace && may_keep(name)));
+        kept.retain(|name| servers.contains_key(name));
+        self.list_state.kept = kept;
         let is_restored = self.record_list_update(from, update.era, update.revision);
         if has_changes && (servers != self.servers || !self.has_server_list) {
             self.install_servers(servers);
@@ -337,6 +426,8 @@
             revision: self.list_state.revision,
             servers: self.servers.values().cloned().collect(),
             removed: Vec::new(),
+            kept: self.list_state.kept.iter().cloned().collect(),
+            grace_ms: self.list_state.grace_ms(self.now),
             config_version: self.config.follower.version(),
             config_digest: self.config.digest(),
         };
--- a/crates/core/tests/driver/mod.rs
+++ b/crates/core/tests/driver/mod.rs
@@ -169,6 +169,8 @@
             revision: self.revision,
             servers: self.servers.clone(),
             removed: Vec::new(),
+            kept: Vec::new(),
+            grace_ms: 0,
             config_version: 0,
             config_digest: 0,
         };
--- a/crates/core/tests/listing.rs
+++ b/crates/core/tests/listing.rs
@@ -16,6 +16,10 @@
 
 const WALL: Duration = Duration::from_secs(1_700_000_000);
 const STEP: Duration = Duration::from_millis(50);
+/// Time of refused reads after which the store counts as away for an instance.
+const AWAY: Duration = Duration::from_secs(1);
+/// Time for which an instance offers to keep servers after the store was away for it.
+const LAPSE_GRACE: Duration = Duration::from_secs(2);
 
 /// Instances of one data centre. Frames arrive at once, except those from or to a disconnected
 /// instance.
@@ -30,6 +34,10 @@
     reads: Vec<u32>,
     /// Number of reads of the list that each instance has tried.
     calls: Vec<u32>,
+    /// Since when the store has refused each instance's reads.
+    failing_since: Vec<Option<Duration>>,
+    /// Until when each instance offers to keep servers that the store lacks.
+    grace_until: Vec<Duration>,
     /// Lines that the instances have logged about the list.
     logged: Vec<String>,
 }
@@ -59,6 +67,8 @@
         let mut fleet = Fleet {
             reads: vec![0; instances.len()],
             calls: vec![0; instances.len()],
+            failing_since: vec![None; instances.len()],
+            grace_until: vec![Duration::ZERO; instances.len()],
             instances,
             now: Duration::from_secs(1),
             disconnected: None,
@@ -129,7 +139,14 @@
                     continue;
                 }
                 self.calls[index] += 1;
-                if !refused.contains(&index) {
+                if refused.contains(&index) {
+                    self.failing_since[index].get_or_insert(self.now);
+                } else {
+                    let since = self.failing_since[index].take();
+                    if since.is_some_and(|since| self.now - since >= AWAY) {
+                        self.grace_until[index] = self.now + LAPSE_GRACE;
+                    }
+                    let grace = self.grace_until[index].saturating_sub(self.now);
                     self.reads[index] += 1;
                     self.revision += 1;
                     let list = ServerListUpdate {
@@ -138,6 +155,8 @@
                         revision: self.revision,
                         servers: servers.to_vec(),
                         removed: Vec::new(),
+                        kept: Vec::new(),
+                        grace_ms: grace.as_millis() as u32,
                         config_version: 0,
                         config_digest: 0,
                     };
@@ -314,3 +333,47 @@
     let callers = fleet.calls.iter().filter(|calls| **calls > 0).count();
     assert!(callers <= 15, "{callers} instances");
 }
+
+#[test]
+fn servers_that_lapsed_in_an_outage_are_kept_until_the_grace_period_ends() {
+    let mut fleet = Fleet::new(4);
+    let servers = vec![server("back"), server("dead")];
+    fleet.advance(Duration::from_secs(4), &servers, &[]);
+    fleet.advance(Duration::from_secs(4), &servers, &[0, 1, 2, 3]);
+    fleet.advance(Duration::from_secs(1), &[], &[]);
+    let lists = fleet.server_lists();
+    assert!(
+        lists.iter().all(|list| *list == ["back", "dead"]),
+        "{lists:?}"
+    );
+    fleet.advance(Duration::from_millis(500), &servers[..1], &[]);
+    // The instances notice within 0.4 s that the store is back.
+    fleet.advance(Duration::from_secs(1), &servers[..1], &[]);
+    let lists = fleet.server_lists();
+    assert!(lists.iter().all(|list| *list == ["back"]), "{lists:?}");
+}
+
+#[test]
+fn removed_servers_stay_removed_whichever_instances_the_store_refuses() {
+    for seed in 0..20 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut fleet = Fleet::new(5);
+        let mut servers: Vec<Server> = (0..8).map(|n| server(&format!("server-{n}"))).collect();
+        fleet.advance(Duration::from_secs(4), &servers, &[]);
+        for _ in 0..6 {
+            let refused: Vec<usize> = (0..5).filter(|_| rng.bool()).take(4).collect();
+            let time = Duration::from_millis(rng.u64(2_000..14_000));
+            fleet.advance(time / 2, &servers, &refused);
+            let removed = servers.swap_remove(rng.usize(..servers.len()));
+            fleet.advance(time / 2, &servers, &refused);
+            fleet.advance(LEAVING_KNOWN_MAX, &servers, &refused);
+            for _ in 0..50 {
+                let lists = fleet.server_lists();
+                let is_listed =
+                    |list: &Vec<String>| list.iter().any(|name| *name == removed.name.as_str());
+                assert!(!lists.iter().any(is_listed), "seed {seed}: {lists:?}");
+                fleet.advance(STEP, &servers, &[]);
+            }
+        }
+    }
+}
--- a/crates/core/tests/spill.rs
+++ b/crates/core/tests/spill.rs
@@ -94,6 +94,8 @@
             revision: 3,
             servers: vec![server("near", "east", 81), server("far", "west", 82)],
             removed: Vec::new(),
+            kept: Vec::new(),
+            grace_ms: 0,
             config_version: 0,
             config_digest: 0,
         };
--- a/crates/wire/src/server_list.rs
+++ b/crates/wire/src/server_list.rs
@@ -33,6 +33,12 @@
     pub servers: Vec<Server>,
     /// Names of the servers that were removed.
     pub removed: Vec<Name>,
+    /// Names of the servers that the store does not list but that may have lapsed while it was away.
+    /// The whole list contains them as well.
+    pub kept: Vec<Name>,
+    /// Time for which servers may still register again whose records lapsed while the store was
+    /// away, in milliseconds. Zero if the sender knows of no such time.
+    pub grace_ms: u32,
     /// Version of the configuration in force at the sender. Instances that do not read the store
     /// learn of a newer version from this field as soon as they learn of a server.
     pub config_version: Version,
