Log the rate limits that servers state

The logs of the incident could not tell whether any instance knew a server's limit. Each change of what a server states is now one line of target limit. A response that does not state the limit ends it only if its request was sent after the limit was last stated, since responses overtake each other. Nothing acts on it yet.

--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -29,6 +29,7 @@
 use crate::config::ConfigState;
 use crate::coordinator::Coordinator;
 use crate::job::Job;
+use crate::limits::Limits;
 use crate::listing::ListState;
 use crate::message::Input;
 use crate::message::ListedServer;
@@ -98,6 +99,7 @@
     pub(crate) origins: Origins,
     pub(crate) health: Health,
     pub(crate) backoffs: Backoffs,
+    pub(crate) limits: Limits,
     pub(crate) jobs: BTreeMap<RequestId, Job>,
     /// The request of each running attempt and of each reservation's attempt.
     pub(crate) attempt_requests: BTreeMap<AttemptId, RequestId>,
@@ -149,6 +151,7 @@
             origins: Origins::default(),
             health: Health::default(),
             backoffs: Backoffs::default(),
+            limits: Limits::default(),
             jobs: BTreeMap::new(),
             attempt_requests: BTreeMap::new(),
             timers: BTreeSet::new(),
@@ -198,8 +201,8 @@
             Input::Frame(frame) => self.on_frame(frame),
             Input::Attempt(attempt, event) => self.on_attempt_event(attempt, event),
             Input::Report(server, sent, report) => self.on_server_report(&server, sent, report),
-            Input::ServerNotice(server, boot, notice) => {
-                self.on_server_notice(&server, boot, &notice);
+            Input::ServerNotice(server, boot, sent_at, notice) => {
+                self.on_server_notice(&server, boot, sent_at, &notice);
             }
             Input::Store(id, answer) => self.on_store_answer(id, answer),
             Input::List(listed) => self.on_list(listed),
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -48,6 +48,7 @@
 //! - `local`: choosing a server without a coordinator, for lightly loaded plain services.
 //! - `listing`: the list of backend servers and its distribution within a data centre.
 //! - `notices`: what backend servers state about themselves in their responses.
+//! - `limits`: rates to which backend servers limit their requests.
 //! - `config`: following the configuration and accepting changes to it.
 //! - `forwarding`: forwarding of an external configuration within a data centre.
 //! - `gossip`: frames between instances, and membership.
@@ -64,6 +65,7 @@
 mod instance;
 pub mod job;
 mod lifecycle;
+mod limits;
 mod listing;
 mod local;
 pub mod message;
@@ -86,6 +88,7 @@
 pub use crate::message::Input;
 pub use crate::message::ListEntry;
 pub use crate::message::Output;
+pub use crate::message::RateLimit;
 pub use crate::message::Replica;
 pub use crate::message::Request;
 pub use crate::message::ServerNotice;
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -17,6 +17,7 @@
 use wire::RequestId;
 use wire::StreamId;
 use wire::admission::Endpoint;
+use wire::limit::Rate;
 pub use wire::server_list::Server as ListedServer;
 use wire::server_list::ServerListUpdate;
 
@@ -151,6 +152,21 @@
     pub leaving: bool,
     /// Time for which the server wants no requests of this instance, if it rejected one.
     pub retry_after: Option<Duration>,
+    /// The rate of requests to which the server limits all instances together.
+    pub limit: RateLimit,
+}
+
+/// What a response states about the rate of requests that its server takes from all instances
+/// together.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum RateLimit {
+    /// The response says nothing about the server's limit.
+    #[default]
+    Unknown,
+    /// The server takes requests at any rate.
+    Absent,
+    /// The server takes requests at this rate.
+    Stated(Rate),
 }
 
 /// A command of the operators' command language.
@@ -206,8 +222,9 @@
     /// The result of a probe of a backend server, `None` if it did not answer. The time is that at
     /// which the probe was sent: after a pause of this process an answer may be old.
     Report(Name, Time, Option<ServerReport>),
-    /// What the given boot of a backend server stated about itself in a response.
-    ServerNotice(Name, BootId, ServerNotice),
+    /// What the given boot of a backend server stated about itself in a response, and when the
+    /// request was sent to it.
+    ServerNotice(Name, BootId, Time, ServerNotice),
     /// The store's answer to the call with this id.
     Store(u64, store::Answer),
     /// The platform's list of instances, and of backend servers where they are listed with them.
--- a/crates/core/src/notices.rs
+++ b/crates/core/src/notices.rs
@@ -81,7 +81,14 @@
 
 impl Instance {
     /// Handles what a given boot of a server stated in the headers of a response.
-    pub(crate) fn on_server_notice(&mut self, server: &Name, boot: BootId, notice: &ServerNotice) {
+    pub(crate) fn on_server_notice(
+        &mut self,
+        server: &Name,
+        boot: BootId,
+        sent_at: Time,
+        notice: &ServerNotice,
+    ) {
+        self.on_limit_notice(server, boot, sent_at, notice.limit);
         let is_known = self.coordinator.is_leaving_boot(server, boot);
         if notice.leaving && !is_known {
             let text =
--- a/crates/exchange/src/relay.rs
+++ b/crates/exchange/src/relay.rs
@@ -392,9 +392,10 @@
                 Err(ConnectionError::Lost) => return AttemptResult::Lost,
             };
             let (parts, body) = response.into_parts();
-            notices.report(&parts).await;
+            let kind = classify(&meta, &parts);
+            notices.report_response(&parts, kind).await;
             let head = ResponseHead::of(&parts);
-            match classify(&meta, &parts) {
+            match kind {
                 ResponseKind::NotExecuted | ResponseKind::Misdirected => AttemptResult::NotExecuted,
                 ResponseKind::Unrelated => AttemptResult::Lost,
                 ResponseKind::ServerError => read_response(head, body, guard, true).await,
--- a/crates/gateway/src/decider.rs
+++ b/crates/gateway/src/decider.rs
@@ -130,6 +130,9 @@
     pub should_read_config: bool,
     /// The era of the store in which the current list of servers was read.
     pub store_era: wire::server_list::Era,
+    /// Whether any server has stated a limit on the rate of its requests, so that a response without
+    /// one is news.
+    pub has_limited_servers: bool,
     /// The id of this incarnation of the instance.
     pub id: InstanceId,
 }
@@ -268,13 +271,16 @@
         let should_read_config = self.instance.should_read_config();
         let is_isolated = self.instance.is_isolated();
         let store_era = self.instance.store_era();
+        let has_limited_servers = self.instance.has_limited_servers();
         self.wiring.status.send_if_modified(|status| {
             let changed = status.ready != ready
                 || status.idle != idle
                 || status.should_read_server_list != should_read_server_list
                 || status.should_read_config != should_read_config
                 || status.is_isolated != is_isolated
-                || status.store_era != store_era;
+                || status.store_era != store_era
+                || status.has_limited_servers != has_limited_servers;
+            status.has_limited_servers = has_limited_servers;
             status.is_isolated = is_isolated;
             status.should_read_config = should_read_config;
             status.store_era = store_era;
--- a/crates/gateway/src/runtime.rs
+++ b/crates/gateway/src/runtime.rs
@@ -134,6 +134,7 @@
             should_read_server_list: false,
             should_read_config: false,
             is_isolated: false,
+            has_limited_servers: false,
             store_era: 0,
             id,
         });
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod admission;
 pub mod gossip;
 pub mod ledger;
+pub mod limit;
 pub mod origin;
 pub mod seal;
 pub mod server_list;
