Keep servers' rate limits for all instances together

Servers in need got up to 38 requests in 4 s where they take 14, since no instance acted on the limit that they state in their responses.

A stated limit is told to all instances at once and then spread by gossip. It ends with a response whose request was sent after the limit was last stated. Coordinators space all grants, resumes and probes of a limited server by the generic cell rate algorithm. In pools without coordinators the server's keeper, the first live instance by rendezvous hash, gives permits. On the sides of a partition each uses the part of the limit that its live instances make of the listed ones, and a new keeper or coordinator starts with nothing saved. Requests that no limited server takes in time are refused at once with the time of the next permit.

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -15,6 +15,7 @@
 //! - the server has the software version that the reservation requires, if it requires one,
 //! - the number of requests on the server stays within its limit, which starts at the cold limit
 //!   after every restart and grows with completed requests ([`server`]),
+//! - the server's own limit on the rate of its requests allows one more ([`pacer`]),
 //! - the predicted peak of the server's KV cache stays within its capacity less a margin
 //!   ([`memory`]),
 //! - the organisation stays within its own limit, and fair queueing selects it ([`queue`]).
@@ -28,9 +29,11 @@
 //! - [`scheduler`]: the admission state machine of a coordinator.
 //! - [`server`]: state of one server: concurrency limit, cold start and availability.
 //! - [`memory`]: predicted peak of KV cache memory, and the safety margin.
+//! - [`pacer`]: spacing of requests to a server that limits their rate.
 //! - [`queue`]: queued reservations, by class and fair between organisations.
 
 pub mod memory;
+pub mod pacer;
 pub mod queue;
 pub mod scheduler;
 pub mod server;
--- a/crates/admit/src/scheduler.rs
+++ b/crates/admit/src/scheduler.rs
@@ -1,6 +1,7 @@
 //! The admission state machine that a coordinator runs for one pool of one data centre.
 
 mod assignments;
+mod limits;
 mod occupancy;
 mod replicas;
 mod selection;
@@ -229,7 +230,8 @@
         if self.denied.contains(&attempt) {
             return answer(self.denial_decision(Denial::Full, RETRY_DELAY_MIN));
         }
-        let expected = self.expected_wait(&reservation);
+        let rate_limited_wait = self.rate_limited_wait(now, &reservation);
+        let expected = self.expected_wait(&reservation).max(rate_limited_wait);
         if self.queue.contains(attempt) {
             self.queue.refresh(attempt, now + RESERVATION_LIFETIME);
             return answer(Decision::Queued { wait: expected });
@@ -366,6 +368,7 @@
     pub fn tick(&mut self, now: Time) -> Vec<Reply> {
         self.expire_assignments(now);
         let mut replies = self.deny_unservable(now);
+        replies.extend(self.deny_beyond_rate_limits(now));
         let expired = self.queue.expire(now);
         for waiting in expired {
             let retry = self.expected_wait(&waiting.reservation);
@@ -501,6 +504,9 @@
         if server.listing.drained || !server.has_software(waiting.reservation.software.as_ref()) {
             return None;
         }
+        if !server.may_resume(now) {
+            return None;
+        }
         let mut occupancies = self.take_occupancies(now);
         let grant = self.assign(now, name, waiting, &mut occupancies.by_server);
         self.keep_occupancies(occupancies);
--- a/crates/admit/src/scheduler/replicas.rs
+++ b/crates/admit/src/scheduler/replicas.rs
@@ -79,6 +79,7 @@
             .filter(|(_, assignment)| assignment.confirmed && assignment.cancelled_at.is_none())
             .filter(|(_, assignment)| assignment.generated > 0)
             .filter(|(_, assignment)| !assignment.replica.as_ref().is_some_and(is_staying))
+            .filter(|(_, assignment)| !self.is_rate_limited(&assignment.server))
             .map(|(attempt, assignment)| (is_at_risk(assignment), assignment.generated, *attempt))
             .collect();
         // Attempts on servers that are shutting down come first, then those with the most tokens.
@@ -138,6 +139,14 @@
             .is_some_and(|until| now < *until)
     }
 
+    /// Returns whether a server limits the rate of its requests. The order to copy a generation is a
+    /// request to its server, and so is the attempt to resume it at the other one.
+    fn is_rate_limited(&self, name: &Name) -> bool {
+        self.servers
+            .get(name)
+            .is_some_and(|server| server.pacer().is_some())
+    }
+
     /// Returns the software version that runs an assignment. A server that is no longer listed may
     /// still run it.
     fn software_of<'a>(&'a self, assignment: &'a Assignment) -> Option<&'a Name> {
@@ -167,7 +176,7 @@
             if !original.fits_software(other) {
                 continue;
             }
-            if self.has_refused_replica(now, name) {
+            if self.has_refused_replica(now, name) || self.is_rate_limited(name) {
                 continue;
             }
             let occupancy = &occupancies[name];
--- a/crates/admit/src/scheduler/selection.rs
+++ b/crates/admit/src/scheduler/selection.rs
@@ -143,6 +143,7 @@
         server.is_open(now)
             && self.is_view_reliable(now, server)
             && !server.is_at_cold_rate(now, &self.pool)
+            && !server.is_at_rate_limit(now)
     }
 
     /// Returns the open servers that a reservation may wait for. One that requires a software
--- a/crates/admit/src/server.rs
+++ b/crates/admit/src/server.rs
@@ -14,6 +14,7 @@
 use wire::Name;
 
 use crate::memory::Margin;
+use crate::pacer::Pacer;
 
 /// Factor above a server's own average first-token time that counts as a jump.
 const JUMP_FACTOR: f64 = 4.0;
@@ -36,6 +37,11 @@
 const COLD_RATE_WINDOW: Duration = Duration::from_secs(1);
 /// Maximum number of request end times kept.
 const END_TIMES_MAX: usize = 256;
+/// Least number of intervals at a server's own rate limit between two probes of the server.
+const PROBE_INTERVALS: f64 = 4.0;
+/// Number of intervals by which a generation may resume ahead of a server's own rate limit. It can
+/// resume at no other server.
+const RESUME_INTERVALS: f64 = 2.0;
 /// Age below which a load report counts as fresh.
 pub const LOAD_REPORT_LIFETIME: Duration = Duration::from_millis(1_500);
 
@@ -102,6 +108,9 @@
     cold_until: Time,
     grant_times: VecDeque<Time>,
     end_times: VecDeque<Time>,
+    /// Spaces the requests to the server, if the server limits their rate.
+    pacer: Option<Pacer>,
+    next_probe: Time,
 }
 
 impl Server {
@@ -123,6 +132,8 @@
             crashed_at: None,
             cold_since: Time::ZERO,
             end_times: VecDeque::new(),
+            pacer: None,
+            next_probe: Time::ZERO,
         }
     }
 
@@ -148,6 +159,49 @@
             self.grant_times.pop_front();
         }
         self.grant_times.push_back(now);
+        if let Some(pacer) = &mut self.pacer {
+            pacer.take(now);
+        }
+    }
+
+    /// Sets the rate of requests per second to which the server limits its requests, or `None` if it
+    /// has no limit.
+    pub fn set_rate_limit(&mut self, now: Time, rate: Option<f64>) {
+        match (&mut self.pacer, rate) {
+            (Some(pacer), Some(rate)) => pacer.set_rate(now, rate),
+            (pacer, rate) => *pacer = rate.map(|rate| Pacer::new(now, rate)),
+        }
+    }
+
+    /// Returns the spacing of the server's requests, if the server limits their rate.
+    pub fn pacer(&self) -> Option<&Pacer> {
+        self.pacer.as_ref()
+    }
+
+    /// Returns whether the server's own rate limit allows no request now.
+    pub fn is_at_rate_limit(&self, now: Time) -> bool {
+        self.pacer.is_some_and(|pacer| !pacer.wait(now).is_zero())
+    }
+
+    /// Returns whether the server's own rate limit allows a generation to resume there now.
+    pub fn may_resume(&self, now: Time) -> bool {
+        let ahead = |pacer: Pacer| pacer.wait(now).as_secs_f64() * pacer.rate();
+        self.pacer
+            .is_none_or(|pacer| ahead(pacer) <= RESUME_INTERVALS)
+    }
+
+    /// Returns whether the server may be probed now, and counts the probe against its own rate limit
+    /// if it has one.
+    pub fn take_probe(&mut self, now: Time) -> bool {
+        let Some(pacer) = &mut self.pacer else {
+            return true;
+        };
+        if now < self.next_probe || !pacer.wait(now).is_zero() {
+            return false;
+        }
+        pacer.take(now);
+        self.next_probe = now + Duration::from_secs_f64(PROBE_INTERVALS / pacer.rate());
+        true
     }
 
     /// Returns whether the server is cold and another grant would exceed the pool's cold rate.
@@ -247,6 +301,7 @@
             self.boot = load.boot;
             self.closed_until = Time::ZERO;
             self.leaving = false;
+            self.pacer = None;
             self.set_limit_from_report(&load, pool);
         } else if std::mem::take(&mut self.was_unreachable) && !load.cold {
             // The server was unreachable but did not restart, so its limit is restored.
--- a/crates/core/src/baseline.rs
+++ b/crates/core/src/baseline.rs
@@ -75,6 +75,8 @@
         let own = self.own_data_centre();
         let mut servers = self.eligible_servers(job, &pool);
         servers.retain(|server| server.data_centre == own && !avoid.contains(&server.name));
+        // The requests to a limited server are counted by its coordinator only.
+        servers.retain(|server| self.rate_limit(&server.name).is_none());
         let live = self.members.live(&own).count().max(1);
         let share = pool.batch as usize / 2 / live;
         let found = servers.iter().find(|server| {
--- a/crates/core/src/coordinator.rs
+++ b/crates/core/src/coordinator.rs
@@ -267,6 +267,7 @@
         self.list_changes += 1;
         self.has_server_list = true;
         self.record_listed_leaving();
+        self.drop_outdated_limits();
         self.refresh_coordinators();
         for server in reclaimed {
             self.move_requests_off(&server);
@@ -382,6 +383,7 @@
             .or_insert_with(|| Scheduler::new(now, pool.clone(), seed));
         scheduler.configure(now, &pool, &listings);
         scheduler.set_majority(majority);
+        self.apply_limits(name);
         if is_new {
             // Until a new coordinator knows the running attempts, it relies on fresh server
             // reports.
@@ -575,6 +577,7 @@
         if report.load.leaving {
             self.record_leaving(server, report.load.boot, self.now);
         }
+        self.on_limit_notice(server, report.load.boot, sent_at, report.limit);
         let mut replies = Vec::new();
         let schedulers = self.coordinator.schedulers.values_mut();
         for scheduler in schedulers.filter(|scheduler| scheduler.contains_server(server)) {
@@ -657,11 +660,13 @@
         let sends_orders = self.reconciler.is_holder(self.now);
         let own = self.own_data_centre();
         let mut probed: BTreeMap<Name, std::net::SocketAddr> = BTreeMap::new();
-        for scheduler in self.coordinator.schedulers.values() {
-            for server in scheduler.servers() {
-                let listing = &server.listing;
-                probed.insert(listing.name.clone(), listing.address);
-            }
+        for scheduler in self.coordinator.schedulers.values_mut() {
+            let listings = scheduler.servers().map(|server| &server.listing);
+            let listed: Vec<(Name, std::net::SocketAddr)> = listings
+                .map(|listing| (listing.name.clone(), listing.address))
+                .collect();
+            let mut may_probe = |name: &Name| scheduler.take_probe(self.now, name);
+            probed.extend(listed.into_iter().filter(|(name, _)| may_probe(name)));
         }
         for server in self.servers.values() {
             if probe_all || (sends_orders && server.data_centre == own) {
--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -60,6 +60,9 @@
             }
             Body::FindOrigin { stream } => self.on_find_origin(from, stream),
             Body::OriginFound { stream, origin } => self.on_origin_found(from, stream, origin),
+            Body::Limits { limits } => self.on_limits(&limits),
+            Body::RequestPermit(request) => self.on_permit_request(from, &request),
+            Body::Permit(permit) => self.on_permit(permit),
             Body::Reserve(reservation) => self.on_reservation(from, reservation),
             Body::Grant(grant) => {
                 self.on_decision(from, grant.attempt, Decision::Grant(grant), age);
@@ -172,6 +175,7 @@
         }
         self.send_all(tick.sends);
         self.gossip_findings();
+        self.gossip_limits();
     }
 
     /// Updates the strikes, leaving servers and configuration version that this instance gossips.
--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -37,6 +37,7 @@
 use crate::notices::Backoffs;
 use crate::origins::Origins;
 use crate::parts::SuspectParts;
+use crate::permits::Permits;
 use crate::placement::ServerCounts;
 use crate::settings::Settings;
 
@@ -100,6 +101,7 @@
     pub(crate) health: Health,
     pub(crate) backoffs: Backoffs,
     pub(crate) limits: Limits,
+    pub(crate) permits: Permits,
     pub(crate) jobs: BTreeMap<RequestId, Job>,
     /// The request of each running attempt and of each reservation's attempt.
     pub(crate) attempt_requests: BTreeMap<AttemptId, RequestId>,
@@ -152,6 +154,7 @@
             health: Health::default(),
             backoffs: Backoffs::default(),
             limits: Limits::default(),
+            permits: Permits::default(),
             jobs: BTreeMap::new(),
             attempt_requests: BTreeMap::new(),
             timers: BTreeSet::new(),
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -66,6 +66,8 @@
     pub tried: Vec<Name>,
     /// Longest retry time that came with a denial; zero if there was none.
     pub retry_after: Duration,
+    /// The permit to send the attempt to a server that limits its requests.
+    pub permit: Option<PendingPermit>,
     /// The denial to report to the caller: of those received, the first in the order of the enum.
     pub denial: Option<wire::admission::Denial>,
 }
@@ -87,6 +89,19 @@
     pub queued: bool,
 }
 
+/// A permit that was asked for and is not used yet.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PendingPermit {
+    /// The attempt that would use the permit.
+    pub attempt: AttemptId,
+    /// Name of the server.
+    pub server: Name,
+    /// When the permit was asked for.
+    pub asked_at: Time,
+    /// When the permit may be used, or `None` until it is given.
+    pub use_at: Option<Time>,
+}
+
 /// An attempt that was dispatched.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Running {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -49,6 +49,7 @@
 //! - `listing`: the list of backend servers and its distribution within a data centre.
 //! - `notices`: what backend servers state about themselves in their responses.
 //! - `limits`: rates to which backend servers limit their requests.
+//! - `permits`: permits to send a request to a limited server without a coordinator.
 //! - `config`: following the configuration and accepting changes to it.
 //! - `forwarding`: forwarding of an external configuration within a data centre.
 //! - `gossip`: frames between instances, and membership.
@@ -74,6 +75,7 @@
 mod origins;
 pub mod outcome;
 mod parts;
+mod permits;
 mod placement;
 mod reports;
 pub mod settings;
--- a/crates/core/src/local.rs
+++ b/crates/core/src/local.rs
@@ -22,6 +22,9 @@
 /// Cost of a server whose requests all fail, in requests that run on it.
 const FAILING_COST: f64 = 8.0;
 
+/// Least retry-after of a request that no limited server takes in time.
+const LIMITED_RETRY_AFTER_MIN: std::time::Duration = std::time::Duration::from_millis(200);
+
 impl Instance {
     /// Returns whether a request's server is chosen without a coordinator.
     pub(crate) fn is_placed_locally(&self, id: RequestId) -> bool {
@@ -33,7 +36,11 @@
     }
 
     /// Dispatches a request to the server with the lowest cost, or tries again after a pause.
+    /// A request for a server that limits its requests waits for a permit first.
     pub(crate) fn place_locally(&mut self, id: RequestId) {
+        if self.awaits_permit(id) {
+            return;
+        }
         let Some(job) = self.jobs.get(&id) else {
             return;
         };
@@ -41,7 +48,26 @@
         let Some(pool) = self.config().pools.get(&pool_name) else {
             return;
         };
-        let available = self.available_servers(job, pool);
+        let mut available = self.available_servers(job, pool);
+        let opens_at = |server: &ListedServer| {
+            self.rate_limit(&server.name)?;
+            self.permits.closed_until(self.now, &server.name)
+        };
+        let next_permit = available.iter().filter_map(opens_at).min();
+        available.retain(|server| opens_at(server).is_none());
+        if let Some(next_permit) = next_permit.filter(|_| available.is_empty()) {
+            let retry_after = next_permit
+                .saturating_sub(self.now)
+                .max(LIMITED_RETRY_AFTER_MIN);
+            let text = format!(
+                "Request {id}: no server of pool {pool_name} takes it in time by its limit, retry in \
+                 {} ms.",
+                retry_after.as_millis()
+            );
+            self.log("place", false, text);
+            self.end(id, Reason::Overloaded, Some(retry_after));
+            return;
+        }
         // Servers that this request avoids, or that any request recently failed to reach, come
         // last.
         let is_avoided = |server: &ListedServer| {
@@ -66,6 +92,9 @@
         } else {
             available.iter().collect()
         };
+        let all_limited = available
+            .iter()
+            .all(|server| self.rate_limit(&server.name).is_some());
         let mut best: Option<(f64, &ListedServer)> = None;
         for server in candidates {
             let cost = self.local_cost(server) + self.rng.f64() * 0.1;
@@ -74,7 +103,10 @@
             }
         }
         match best.map(|(_, server)| server.clone()) {
-            Some(server) => self.dispatch_to(id, &server),
+            Some(server) => match self.rate_limit(&server.name) {
+                Some(rate) => self.request_permit(id, &server.name, rate, all_limited),
+                None => self.dispatch_to(id, &server),
+            },
             None if self.end_if_pool_is_closed(id) => {}
             None => self.set_timer(id, self.now + NO_SERVER_PAUSE),
         }
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -143,6 +143,8 @@
     pub first_event: u64,
     /// The newest events of the server's prefix cache.
     pub events: Vec<route::prefix::Event>,
+    /// What the answer states about the server's limit.
+    pub limit: RateLimit,
 }
 
 /// What a backend server states about itself in the headers of a response.
@@ -169,6 +171,17 @@
     Stated(Rate),
 }
 
+impl RateLimit {
+    /// Returns the limit if it is stated. Only responses to requests are known to state every limit,
+    /// so its absence in other responses says nothing.
+    pub fn if_stated(self) -> RateLimit {
+        match self {
+            RateLimit::Absent => RateLimit::Unknown,
+            stated => stated,
+        }
+    }
+}
+
 /// A command of the operators' command language.
 #[derive(Clone, Debug, PartialEq)]
 pub struct CommandLine {
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -164,7 +164,10 @@
         let Some(copy) = self.jobs[&id].resume_from.clone() else {
             return;
         };
-        let Some(server) = self.servers.get(&copy.endpoint.server).cloned() else {
+        // The requests to a limited server are counted by its coordinator only.
+        let is_limited = self.rate_limit(&copy.endpoint.server).is_some();
+        let server = self.servers.get(&copy.endpoint.server).cloned();
+        let Some(server) = server.filter(|_| !is_limited) else {
             self.on_copy_unusable(id);
             return;
         };
--- a/crates/exchange/src/relay/notice.rs
+++ b/crates/exchange/src/relay/notice.rs
@@ -45,10 +45,7 @@
     /// report on the same attempt.
     pub(super) async fn report(&self, parts: &response::Parts) {
         let mut notice = (self.server_notice)(parts);
-        // Only responses to requests are known to state every limit.
-        if notice.limit == RateLimit::Absent {
-            notice.limit = RateLimit::Unknown;
-        }
+        notice.limit = notice.limit.if_stated();
         self.send(notice).await;
     }
 
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -20,6 +20,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use stream::Frame;
+use wigeon_core::RateLimit;
 use wigeon_core::ServerReport;
 
 use crate::http;
@@ -363,6 +364,7 @@
                 false => prefix::Event::Evicted(prefix),
             })
             .collect(),
+        limit: RateLimit::Unknown,
     }
 }
 
--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -265,6 +265,27 @@
         expected > 0 && self.live(data_centre).count() * 2 > expected
     }
 
+    /// Returns the part that the live instances in this view make of those that the platform lists,
+    /// leaving instances not counted: of a data centre, or of all. On the two sides of a partition
+    /// the parts add up to one at most. Returns 1 if none is listed.
+    pub fn live_part(&self, data_centre: Option<&str>) -> f64 {
+        let is_counted = |place: &Name| data_centre.is_none_or(|data_centre| place == data_centre);
+        let expected = self
+            .listed
+            .iter()
+            .filter(|listed| is_counted(&listed.data_centre) && !listed.leaving)
+            .count();
+        let live = self
+            .rumours()
+            .filter(|rumour| matches!(rumour.state, State::Alive | State::Suspect))
+            .filter(|rumour| is_counted(&rumour.entry.data_centre))
+            .count();
+        if expected == 0 {
+            return 1.0;
+        }
+        (live as f64 / expected as f64).min(1.0)
+    }
+
     /// Sends the next probe, times out probes and suspicions, and detects a pause of this process.
     pub fn tick(&mut self, now: Time) -> Tick {
         let was_paused = self
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -285,6 +285,15 @@
         /// The stream's origin, or `None` if the sender does not know it.
         origin: Option<origin::Origin>,
     },
+    /// Sends what backend servers have stated about the rate of requests that they take.
+    Limits {
+        /// The statements.
+        limits: Vec<limit::Limit>,
+    },
+    /// Asks for a permit to send a request to a limited server.
+    RequestPermit(limit::PermitRequest),
+    /// Answers a [`Body::RequestPermit`].
+    Permit(limit::Permit),
 }
 
 /// Error of decoding or checking a frame.
