Simulate instances without a path to the servers, and log probes that fail

The logs of the incident could not tell what a coordinator without a path believed of its servers; a probe that fails is now one line.

--- a/crates/core/src/coordinator.rs
+++ b/crates/core/src/coordinator.rs
@@ -561,6 +561,11 @@
             return;
         }
         let Some(report) = report else {
+            self.log(
+                "home",
+                true,
+                format!("Server {server} did not answer a probe."),
+            );
             for scheduler in self.coordinator.schedulers.values_mut() {
                 scheduler.record_unreachable(self.now, server);
             }
--- a/crates/exchange/src/relay.rs
+++ b/crates/exchange/src/relay.rs
@@ -28,6 +28,7 @@
 use gateway::decider::Status;
 use gateway::log_limit::LogLimiter;
 use gateway::metrics::Metrics;
+use gateway::partition::Partition;
 use http_body_util::Full;
 use hyper::HeaderMap;
 use hyper::Request;
@@ -83,6 +84,8 @@
     pub metrics: Arc<Metrics>,
     /// Reads and writes the platform's headers.
     pub codec: Codec,
+    /// The servers that the instance can't reach, for experiments.
+    pub partition: Arc<Partition>,
     /// Limits the rate of log lines.
     pub log_limiter: LogLimiter,
     /// Memory budget for the bodies of requests, in permits of 1 KiB.
@@ -380,9 +383,10 @@
         let expects_events = self.route.delivery == Delivery::Stream;
         let is_resumed = self.progress.events > 0;
         let address = dispatch.address;
+        let is_cut = self.context.partition.cuts(address);
         let notices = NoticeReporter::new(&self.context, dispatch.server.clone(), dispatch.boot);
         async move {
-            let request = match request {
+            let request = match request.filter(|_| !is_cut) {
                 Some(request) => request,
                 None => return AttemptResult::Unreachable,
             };
