Hand requests over while an instance is cut off from all servers

The class of the fault: an instance takes a failure of its own for one of all others.

An instance now tells the two apart by its own connections: two servers or more are not reached over 0.4 s, and no connection is established meanwhile. While it is cut off, lost connections are no strikes and no crashes, failures close no server at a coordinator, and requests that have not run are handed over to another instance as its caller sends them, with the time that is left; now and then one tries the own paths. The receiver never hands them on. A refusal of the receiver is a promise, and the next instance is tried, four at most; an answer that is lost on the way is not run again. A caller that leaves closes the connection to the receiver, which cancels the run.

The simulated fleet of crashing parts passes requests on that are handed over in a storm of crashes, with all its checks as before.

--- a/crates/core/src/coordinator.rs
+++ b/crates/core/src/coordinator.rs
@@ -566,11 +566,15 @@
                 true,
                 format!("Server {server} did not answer a probe."),
             );
-            for scheduler in self.coordinator.schedulers.values_mut() {
-                scheduler.record_unreachable(self.now, server);
+            self.record_not_reached(server);
+            if !self.is_cut_off() {
+                for scheduler in self.coordinator.schedulers.values_mut() {
+                    scheduler.record_unreachable(self.now, server);
+                }
             }
             return;
         };
+        self.record_reached(sent_at);
         let rebooted = self
             .baseline
             .loads
--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -39,6 +39,7 @@
 use crate::parts::SuspectParts;
 use crate::permits::Permits;
 use crate::placement::ServerCounts;
+use crate::reach::Reach;
 use crate::settings::Settings;
 
 /// An invariant that was broken. Where a broken invariant does not panic, it is counted.
@@ -102,6 +103,7 @@
     pub(crate) backoffs: Backoffs,
     pub(crate) limits: Limits,
     pub(crate) permits: Permits,
+    pub(crate) reach: Reach,
     pub(crate) jobs: BTreeMap<RequestId, Job>,
     /// The request of each running attempt and of each reservation's attempt.
     pub(crate) attempt_requests: BTreeMap<AttemptId, RequestId>,
@@ -155,6 +157,7 @@
             backoffs: Backoffs::default(),
             limits: Limits::default(),
             permits: Permits::default(),
+            reach: Reach::default(),
             jobs: BTreeMap::new(),
             attempt_requests: BTreeMap::new(),
             timers: BTreeSet::new(),
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -125,6 +125,9 @@
     pub resumed: bool,
     /// The copy of the generation's KV memory on another server, if there is one.
     pub replica: Option<Replica>,
+    /// The instance to which the request was handed over, which is then named as the server. `None`
+    /// if the attempt was sent to a server.
+    pub peer: Option<InstanceId>,
 }
 
 /// An attempt whose server is silent, but whose connection is open.
@@ -165,6 +168,8 @@
     pub unreachable_attempts: u32,
     /// Whether the server of the last attempt could not be reached.
     pub last_unreachable: bool,
+    /// Number of other instances to which the request was handed over.
+    pub hand_overs: u32,
     /// Attempts dispatched so far, including resumed ones.
     pub attempts: u32,
     /// The copy of a lost generation's KV memory from which the next attempt resumes.
@@ -202,6 +207,7 @@
             retries: 0,
             unreachable_attempts: 0,
             last_unreachable: false,
+            hand_overs: 0,
             attempts: 0,
             resume_from: None,
             origin: None,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -50,6 +50,7 @@
 //! - `notices`: what backend servers state about themselves in their responses.
 //! - `limits`: rates to which backend servers limit their requests.
 //! - `permits`: permits to send a request to a limited server without a coordinator.
+//! - `reach`: the instance's own paths to the servers, and requests that are handed over.
 //! - `config`: following the configuration and accepting changes to it.
 //! - `forwarding`: forwarding of an external configuration within a data centre.
 //! - `gossip`: frames between instances, and membership.
@@ -77,6 +78,7 @@
 mod parts;
 mod permits;
 mod placement;
+mod reach;
 mod reports;
 pub mod settings;
 mod silence;
--- a/crates/core/src/lifecycle.rs
+++ b/crates/core/src/lifecycle.rs
@@ -286,6 +286,7 @@
                 endpoint,
                 handle: None,
             }),
+            peer: None,
         });
         self.check_invariant(may_dispatch, Violation::RepeatedRun);
         self.clear_timer(id);
@@ -306,6 +307,7 @@
             resume_from,
             silence,
             list,
+            hands_over: false,
         }));
         self.check_invariant(eligible, Violation::WorkAfterWithdrawal);
         self.record_started(id);
@@ -389,6 +391,21 @@
         if !is_handled {
             return;
         }
+        if let Some(peer) = self.jobs[&id].running().and_then(|running| running.peer) {
+            let ran = match event {
+                Event::Refused | Event::Unreachable => Some(false),
+                Event::Lost { .. } => Some(true),
+                _ => None,
+            };
+            if let Some(ran) = ran {
+                self.attempt_requests.remove(&attempt);
+                self.on_hand_over_failed(id, peer, ran);
+                return;
+            }
+        }
+        if !is_silent {
+            self.record_path(id, &event);
+        }
         match event {
             Event::Accepted => self.replace_silent(id),
             Event::FirstToken => {
@@ -423,6 +440,27 @@
         }
     }
 
+    /// Records what an event of a job's attempt shows of the path to the attempt's server.
+    fn record_path(&mut self, id: RequestId, event: &Event) {
+        let Some(running) = self.jobs[&id].running().filter(|r| r.peer.is_none()) else {
+            return;
+        };
+        let (server, dispatched_at) = (running.server.clone(), running.dispatched_at);
+        match event {
+            Event::Unreachable => self.record_not_reached(&server),
+            Event::Lost { .. } => {
+                self.record_reached(dispatched_at);
+                self.record_not_reached(&server);
+            }
+            Event::Accepted
+            | Event::FirstToken
+            | Event::Complete { .. }
+            | Event::Refused
+            | Event::Failed => self.record_reached(dispatched_at),
+            _ => {}
+        }
+    }
+
     fn on_first_token(&mut self, id: RequestId) {
         let now = self.now;
         if let Some(Phase::Running(running)) = self.jobs.get_mut(&id).map(|job| &mut job.phase) {
@@ -500,7 +538,12 @@
 
     /// Handles an attempt that is proved not to have run: it was refused or never sent.
     fn on_not_run(&mut self, id: RequestId, end: End) {
-        self.record_ended(id, end);
+        // What a cut instance sees is no reason for the coordinator to close the server.
+        let reported = match end {
+            End::Unreachable if self.is_cut_off() => End::Unused,
+            end => end,
+        };
+        self.record_ended(id, reported);
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
@@ -521,11 +564,22 @@
                 self.health.record_unreachable(self.now, &server);
             }
         }
+        if end == End::Unreachable && self.is_cut_off() && self.hand_over(id) {
+            return;
+        }
         self.wait_for_retry(id, Duration::ZERO);
     }
 
     /// Handles an attempt that ran and that its server answered with an error.
     fn on_failed(&mut self, id: RequestId) {
+        if self.jobs[&id]
+            .running()
+            .is_some_and(|running| running.peer.is_some())
+        {
+            // The other instance has made all attempts that the route allows.
+            self.end(id, Reason::ServerError, None);
+            return;
+        }
         self.record_health(id, false);
         self.record_ended(id, End::Failed);
         let Some(job) = self.jobs.get_mut(&id) else {
@@ -547,6 +601,7 @@
 
     /// Handles an attempt that its server lost while it ran.
     fn on_lost(&mut self, id: RequestId, crashed: bool, delivered: u32) {
+        let crashed = crashed && !self.is_cut_off();
         self.record_delivered(id, delivered);
         self.record_health(id, false);
         let end = if crashed {
@@ -789,6 +844,7 @@
 
     fn record_health(&mut self, id: RequestId, success: bool) {
         let server = self.jobs.get(&id).and_then(|job| job.running());
+        let server = server.filter(|running| running.peer.is_none());
         if let Some(server) = server.map(|running| running.server.clone()) {
             self.health.record(self.now, &server, success);
         }
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -52,6 +52,8 @@
     /// The stream of events that the request asks for, on a platform whose streams are bound to the
     /// software version that began them.
     pub stream: Option<Stream>,
+    /// Whether another instance that is cut off from the servers has handed the request over.
+    pub handed_over: bool,
 }
 
 /// The stream of events that a request asks for.
@@ -363,6 +365,9 @@
     pub silence: Option<u32>,
     /// The list of servers by which the server was chosen, for the log.
     pub list: ListPosition,
+    /// Whether the request is handed over to another instance, which is named as the server. It is
+    /// sent to the instance's address for callers.
+    pub hands_over: bool,
 }
 
 /// How current the list of servers is at an instance.
--- a/crates/core/src/origins.rs
+++ b/crates/core/src/origins.rs
@@ -203,7 +203,8 @@
         let (Some(Stream::New(stream)), None) = (job.request.stream, &job.origin) else {
             return;
         };
-        let Some(running) = job.running() else {
+        // The instance to which a request was handed over records the origin.
+        let Some(running) = job.running().filter(|running| running.peer.is_none()) else {
             return;
         };
         let (server, boot) = (running.server.clone(), running.boot);
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -89,6 +89,9 @@
             return;
         };
         job.phase = Phase::Placing(Placement::default());
+        if self.hand_over_if_cut_off(id) {
+            return;
+        }
         if self.is_placed_locally(id) {
             self.place_locally(id);
         } else if self.settings.policy == Policy::Coordinator {
@@ -101,6 +104,9 @@
     /// Continues the placement of a job whose timer is due: repeats, replaces or gives up its
     /// reservations.
     pub(crate) fn on_placement_timer(&mut self, id: RequestId) {
+        if self.hand_over_if_cut_off(id) {
+            return;
+        }
         if self.is_placed_locally(id) {
             self.place_locally(id);
             return;
--- a/crates/core/src/reports.rs
+++ b/crates/core/src/reports.rs
@@ -65,6 +65,9 @@
         let Some(running) = self.jobs.get(&id).and_then(|job| job.running()) else {
             return;
         };
+        if running.peer.is_some() {
+            return;
+        }
         let (attempt, generated) = (running.attempt, running.generated);
         let data_centre = running.data_centre.clone();
         let started = generated == 1;
@@ -84,6 +87,9 @@
 
     /// Queues a report item for the end of an attempt of a job.
     pub(crate) fn record_attempt_ended(&mut self, id: RequestId, attempt: &Running, end: End) {
+        if attempt.peer.is_some() {
+            return;
+        }
         let item = Item::Ended {
             attempt: attempt.attempt,
             end,
@@ -179,6 +185,7 @@
                 running.map(move |running| (job, running))
             })
             .filter(|(_, running)| running.data_centre == *data_centre)
+            .filter(|(_, running)| running.peer.is_none())
             .map(|(job, running)| Item::Running {
                 attempt: running.attempt,
                 server: running.server.clone(),
--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -101,6 +101,10 @@
     steps: BTreeMap<(Duration, u64), Step>,
     next_step: u64,
     runs: BTreeMap<u64, Run>,
+    /// Requests that were handed over, by receiver and id, with their sender and its attempt.
+    handed_over: BTreeMap<(usize, u64), (usize, u64)>,
+    /// The request as its caller sent it, by id.
+    requests: BTreeMap<u64, Request>,
     records: BTreeMap<u64, Record>,
     /// Parts that crash servers.
     bad: BTreeSet<PartId>,
@@ -189,6 +193,8 @@
             steps: BTreeMap::new(),
             next_step: 0,
             runs: BTreeMap::new(),
+            handed_over: BTreeMap::new(),
+            requests: BTreeMap::new(),
             records: BTreeMap::new(),
             bad: BTreeSet::new(),
             crashes: BTreeMap::new(),
@@ -264,6 +270,7 @@
                 });
                 self.input(index, Input::Report(server, sent_at, report));
             }
+            Output::Dispatch(dispatch) if dispatch.hands_over => self.hand_over(index, &dispatch),
             Output::Dispatch(dispatch) => {
                 let now = self.now;
                 if let Some(record) = self.records.get_mut(&dispatch.request) {
@@ -275,8 +282,20 @@
                 self.runs.remove(&attempt);
             }
             Output::Finish { request, outcome } => {
+                let is_refused = matches!(outcome, Outcome::Refused(_));
+                if let Some((sender, attempt)) = self.handed_over.remove(&(index, request)) {
+                    let event = match is_refused {
+                        true => Event::Refused,
+                        false => Event::Lost {
+                            crashed: true,
+                            delivered: 0,
+                        },
+                    };
+                    self.input(sender, Input::Attempt(attempt, event));
+                    return;
+                }
                 if let Some(record) = self.records.get_mut(&request) {
-                    record.refused |= matches!(outcome, Outcome::Refused(_));
+                    record.refused |= is_refused;
                 }
             }
             _ => {}
@@ -310,7 +329,11 @@
                         gap: Duration::from_millis(20),
                         answer: wire::ledger::Answer::default(),
                     };
-                    self.input(run.instance, Input::Attempt(attempt, complete));
+                    self.input(run.instance, Input::Attempt(attempt, complete.clone()));
+                    let handed_over = self.handed_over.remove(&(run.instance, run.request));
+                    if let Some((sender, attempt)) = handed_over {
+                        self.input(sender, Input::Attempt(attempt, complete));
+                    }
                 }
             }
             Step::Restart(engine) => {
@@ -321,6 +344,22 @@
         }
     }
 
+    /// Passes a request that an instance hands over to the receiver.
+    fn hand_over(&mut self, sender: usize, dispatch: &Dispatch) {
+        let receiver = self.instances.iter().position(|instance| {
+            let entry = instance.entry(instance.id());
+            entry.is_some_and(|entry| entry.name == dispatch.server)
+        });
+        let receiver = receiver.expect("the instance exists");
+        let request = Request {
+            handed_over: true,
+            ..self.requests[&dispatch.request].clone()
+        };
+        let key = (receiver, dispatch.request);
+        self.handed_over.insert(key, (sender, dispatch.attempt));
+        self.input(receiver, Input::Request(request));
+    }
+
     fn on_arrival(&mut self, instance: usize, dispatch: &Dispatch) {
         let engine = self
             .engines
@@ -488,8 +527,10 @@
             expected_tokens: Some(120),
             timeout: Some(Duration::from_secs(39)),
             stream: None,
+            handed_over: false,
         };
         let index = self.rng.usize(..INSTANCES);
+        self.requests.insert(id, request.clone());
         self.input(index, Input::Request(request));
     }
 
--- a/crates/core/tests/driver/mod.rs
+++ b/crates/core/tests/driver/mod.rs
@@ -39,6 +39,8 @@
     pub servers: Vec<Server>,
     /// Outputs of the instance, oldest first, without the dispatches that a test has taken.
     pub outputs: Vec<Output>,
+    /// Whether probes are not answered.
+    pub is_cut: bool,
     /// Revision of the last server list that was sent.
     revision: u64,
 }
@@ -107,6 +109,7 @@
             now: START,
             servers: servers.iter().map(|name| server(name, 1)).collect(),
             outputs: Vec::new(),
+            is_cut: false,
             revision: 10,
         };
         let pool = Pool {
@@ -145,6 +148,10 @@
     }
 
     fn report(&mut self, name: Name, sent_at: Duration) {
+        if self.is_cut {
+            self.input(Input::Report(name, sent_at, None));
+            return;
+        }
         let Some(server) = self.servers.iter().find(|server| server.name == name) else {
             return;
         };
@@ -206,6 +213,7 @@
             expected_tokens: Some(900),
             timeout: Some(Duration::from_secs(39)),
             stream: None,
+            handed_over: false,
         }
     }
 
--- a/crates/core/tests/origins.rs
+++ b/crates/core/tests/origins.rs
@@ -558,6 +558,7 @@
 
     fn new_request(&self, id: RequestId, stream: Option<Stream>) -> Request {
         Request {
+            handed_over: false,
             id,
             organisation: "shop".into(),
             route: "letters".into(),
--- a/crates/core/tests/server_limits.rs
+++ b/crates/core/tests/server_limits.rs
@@ -281,6 +281,7 @@
             expected_tokens: None,
             timeout: Some(Duration::from_secs(1)),
             stream: None,
+            handed_over: false,
         };
         let index = self.requests as usize % self.instances.len();
         self.input(index, Input::Request(request));
--- a/crates/core/tests/spill.rs
+++ b/crates/core/tests/spill.rs
@@ -167,6 +167,7 @@
             expected_tokens: Some(100),
             timeout: Some(Duration::from_secs(39)),
             stream: None,
+            handed_over: false,
         };
         self.input(0, Input::Request(request));
     }
--- a/crates/exchange/src/codec.rs
+++ b/crates/exchange/src/codec.rs
@@ -43,6 +43,8 @@
     pub last_event_id: Option<u64>,
     /// The stream of events that the request asks for, or `None` on a route without streams.
     pub stream: Option<Stream>,
+    /// Whether another instance has handed the request over.
+    pub handed_over: bool,
     /// The caller's header fields that are forwarded to a backend server unchanged.
     pub forwarded_headers: HeaderMap,
 }
@@ -120,6 +122,11 @@
     pub decode_request: fn(&request::Parts, &Config) -> Result<RequestMeta, Rejection>,
     /// Returns the header fields that the server of an attempt receives.
     pub attempt_headers: fn(&RequestMeta, &AttemptContext<'_>) -> HeaderMap,
+    /// Returns the header fields with which a request is handed over to another instance, given those
+    /// of the caller.
+    pub hand_over_headers: fn(&HeaderMap, &AttemptContext<'_>) -> HeaderMap,
+    /// Classifies the response of an instance to which a request was handed over.
+    pub classify_hand_over: fn(&RequestMeta, &response::Parts) -> ResponseKind,
     /// Classifies a server's response by its status and headers.
     pub classify: fn(&RequestMeta, &response::Parts) -> ResponseKind,
     /// Returns what a server states about itself in the head of any response.
--- a/crates/exchange/src/relay.rs
+++ b/crates/exchange/src/relay.rs
@@ -241,6 +241,7 @@
             expected_tokens: meta.expected_tokens,
             timeout: meta.caller_timeout,
             stream: meta.stream,
+            handed_over: meta.handed_over,
         };
         let timeouts = [meta.caller_timeout, route.timeout()];
         let deadline = timeouts
@@ -379,7 +380,11 @@
     ) -> impl Future<Output = AttemptResult> + Send + 'static {
         let request = self.build_request(dispatch);
         let meta = self.meta.clone();
-        let classify = self.context.codec.classify;
+        let classify = match dispatch.hands_over {
+            true => self.context.codec.classify_hand_over,
+            false => self.context.codec.classify,
+        };
+        let is_from_server = !dispatch.hands_over;
         let expects_events = self.route.delivery == Delivery::Stream;
         let is_resumed = self.progress.events > 0;
         let address = dispatch.address;
@@ -397,7 +402,9 @@
             };
             let (parts, body) = response.into_parts();
             let kind = classify(&meta, &parts);
-            notices.report_response(&parts, kind).await;
+            if is_from_server {
+                notices.report_response(&parts, kind).await;
+            }
             let head = ResponseHead::of(&parts);
             match kind {
                 ResponseKind::NotExecuted | ResponseKind::Misdirected => AttemptResult::NotExecuted,
@@ -427,7 +434,11 @@
             .uri(path)
             .body(Full::new(self.payload.clone()))
             .ok()?;
-        *request.headers_mut() = (self.context.codec.attempt_headers)(&self.meta, &attempt);
+        let codec = &self.context.codec;
+        *request.headers_mut() = match dispatch.hands_over {
+            true => (codec.hand_over_headers)(&self.parts.headers, &attempt),
+            false => (codec.attempt_headers)(&self.meta, &attempt),
+        };
         Some(request)
     }
 
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -301,6 +301,7 @@
         expected_tokens: None,
         timeout: None,
         stream: None,
+        handed_over: false,
     }
 }
 
--- a/crates/soak/src/simulation/load.rs
+++ b/crates/soak/src/simulation/load.rs
@@ -118,6 +118,7 @@
             expected_tokens: None,
             timeout: None,
             stream: None,
+            handed_over: false,
         };
         self.schedule_input(index, Input::Request(request));
     }
