Leave brittle servers alone at all instances when they reject a request

A server that states that it is brittle crashes if it has to reject more than a number of requests in a second. Each instance that found it full added one or more, and its retries found the next server full. The first rejection is now told to all instances at once, which send nothing for a time that follows from the number that the server states; coordinators grant nothing on it meanwhile. Where all servers of a pool are left alone, requests are refused at once.

--- a/crates/admit/src/scheduler/limits.rs
+++ b/crates/admit/src/scheduler/limits.rs
@@ -38,6 +38,15 @@
         }
     }
 
+    /// Grants nothing on a boot of a server until a given time.
+    pub fn close_until(&mut self, name: &str, boot: BootId, until: Time) {
+        if let Some(server) = self.servers.get_mut(name)
+            && (server.boot() == boot || server.boot() == 0 || boot == 0)
+        {
+            server.close_until(until);
+        }
+    }
+
     /// Returns whether a server may be probed now. A probe of a server with a rate limit counts
     /// against it.
     pub fn take_probe(&mut self, now: Time, name: &str) -> bool {
--- a/crates/admit/src/server.rs
+++ b/crates/admit/src/server.rs
@@ -361,6 +361,11 @@
         self.reset_limit(pool);
     }
 
+    /// Closes the server until a given time at least.
+    pub fn close_until(&mut self, until: Time) {
+        self.closed_until = self.closed_until.max(until);
+    }
+
     /// Records that the server crashed and lost its running requests.
     pub fn record_crash(&mut self, now: Time) {
         self.crashed_at = Some(now);
--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -60,6 +60,14 @@
             }
             Body::FindOrigin { stream } => self.on_find_origin(from, stream),
             Body::OriginFound { stream, origin } => self.on_origin_found(from, stream, origin),
+            Body::Strained {
+                server,
+                boot,
+                backoff_ms,
+            } => {
+                let backoff = Duration::from_millis(u64::from(backoff_ms));
+                self.leave_alone(&server, boot, backoff);
+            }
             Body::Limits { limits } => self.on_limits(&limits),
             Body::RequestPermit(request) => self.on_permit_request(from, &request),
             Body::Permit(permit) => self.on_permit(permit),
--- a/crates/core/src/limits.rs
+++ b/crates/core/src/limits.rs
@@ -196,6 +196,7 @@
             let listed = servers.get(name);
             listed.is_some_and(|listed| statement.applies_to(listed.boot))
         });
+        self.permits.retain(|server| servers.contains_key(server));
     }
 
     /// Sends a server's limit to all instances.
--- a/crates/core/src/local.rs
+++ b/crates/core/src/local.rs
@@ -22,8 +22,8 @@
 /// Cost of a server whose requests all fail, in requests that run on it.
 const FAILING_COST: f64 = 8.0;
 
-/// Least retry-after of a request that no limited server takes in time.
-const LIMITED_RETRY_AFTER_MIN: std::time::Duration = std::time::Duration::from_millis(200);
+/// Least retry-after of a request that no server takes in time.
+const CLOSED_RETRY_AFTER_MIN: std::time::Duration = std::time::Duration::from_millis(200);
 
 impl Instance {
     /// Returns whether a request's server is chosen without a coordinator.
@@ -49,18 +49,15 @@
             return;
         };
         let mut available = self.available_servers(job, pool);
-        let opens_at = |server: &ListedServer| {
-            self.rate_limit(&server.name)?;
-            self.permits.closed_until(self.now, &server.name)
-        };
-        let next_permit = available.iter().filter_map(opens_at).min();
+        let opens_at = |server: &ListedServer| self.permits.closed_until(self.now, &server.name);
+        let first_opening = available.iter().filter_map(opens_at).min();
         available.retain(|server| opens_at(server).is_none());
-        if let Some(next_permit) = next_permit.filter(|_| available.is_empty()) {
-            let retry_after = next_permit
+        if let Some(first_opening) = first_opening.filter(|_| available.is_empty()) {
+            let retry_after = first_opening
                 .saturating_sub(self.now)
-                .max(LIMITED_RETRY_AFTER_MIN);
+                .max(CLOSED_RETRY_AFTER_MIN);
             let text = format!(
-                "Request {id}: no server of pool {pool_name} takes it in time by its limit, retry in \
+                "Request {id}: no server of pool {pool_name} takes it in time, retry in \
                  {} ms.",
                 retry_after.as_millis()
             );
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -158,6 +158,9 @@
     pub retry_after: Option<Duration>,
     /// The rate of requests to which the server limits all instances together.
     pub limit: RateLimit,
+    /// How many requests per second the server can reject without crashing, if it states so and has
+    /// rejected this one.
+    pub strain: Option<u32>,
 }
 
 /// What a response states about the rate of requests that its server takes from all instances
--- a/crates/core/src/notices.rs
+++ b/crates/core/src/notices.rs
@@ -15,12 +15,20 @@
 use wire::admission::AVOID_MAX;
 use wire::gossip::Leaving;
 
+use crate::coordinator::millis;
 use crate::instance::Instance;
 use crate::message::ServerNotice;
 
 /// Generations that may resume at a server during its backoff. A generation can resume at no other
 /// server than the one that holds its copy.
 const RESUMES_DURING_BACKOFF: u32 = 1;
+/// Number of requests that a brittle server is assumed to reject before all instances leave it alone:
+/// those that were under way together.
+const REJECTIONS_PER_ROUND: f64 = 2.0;
+/// Shortest time for which such a server is left alone.
+const STRAINED_BACKOFF_MIN: Duration = Duration::from_millis(200);
+/// Longest time for which such a server is left alone.
+const STRAINED_BACKOFF_MAX: Duration = Duration::from_millis(2_000);
 /// Maximum number of servers whose backoff is kept.
 const BACKOFFS_MAX: usize = 4_096;
 
@@ -89,6 +97,9 @@
         notice: &ServerNotice,
     ) {
         self.on_limit_notice(server, boot, sent_at, notice.limit);
+        if let Some(rejections_max) = notice.strain {
+            self.on_strained(server, boot, rejections_max);
+        }
         let is_known = self.coordinator.is_leaving_boot(server, boot);
         if notice.leaving && !is_known {
             let text =
@@ -111,6 +122,42 @@
         }
     }
 
+    /// Handles a server that has rejected a request and crashes if it has to reject more than a number
+    /// of them in a second: no instance sends it requests for a while.
+    fn on_strained(&mut self, server: &Name, boot: BootId, rejections_max: u32) {
+        let rounds_per_s = f64::from(rejections_max.max(1)) / REJECTIONS_PER_ROUND;
+        let backoff = Duration::from_secs_f64(rounds_per_s.recip());
+        let backoff = backoff.clamp(STRAINED_BACKOFF_MIN, STRAINED_BACKOFF_MAX);
+        let text = format!(
+            "Server {server} (boot {boot}) rejects requests and bears {rejections_max} rejections per \
+             second: it is left alone for {} ms.",
+            backoff.as_millis()
+        );
+        self.log("place", true, text);
+        self.leave_alone(server, boot, backoff);
+        let backoff_ms = millis(backoff);
+        let others: Vec<InstanceId> = self.members.running_others().collect();
+        // The frame is not acknowledged, so it is sent twice in case one is lost.
+        for to in others.iter().chain(&others) {
+            let server = server.clone();
+            let body = Body::Strained {
+                server,
+                boot,
+                backoff_ms,
+            };
+            self.send(*to, body);
+        }
+    }
+
+    /// Sends a server no requests for a time.
+    pub(crate) fn leave_alone(&mut self, server: &Name, boot: BootId, time: Duration) {
+        let until = self.now + time.min(STRAINED_BACKOFF_MAX);
+        self.permits.close(server, until);
+        for scheduler in self.coordinator.schedulers.values_mut() {
+            scheduler.close_until(server, boot, until);
+        }
+    }
+
     /// Sends a server's announcement that it leaves to the coordinators of its pools, which would
     /// otherwise learn of it only with the next report or gossip.
     fn report_leaving(&mut self, server: &Name, boot: BootId) {
--- a/crates/core/src/permits.rs
+++ b/crates/core/src/permits.rs
@@ -42,16 +42,29 @@
 pub(crate) struct Permits {
     /// The schedules of the servers that this instance keeps.
     pacers: BTreeMap<Name, (BootId, Pacer)>,
-    /// When a permit may be asked for again, by server.
+    /// When a permit may be asked for again, by server, or a request sent to one that is brittle.
     closed_until: BTreeMap<Name, Time>,
 }
 
 impl Permits {
-    /// Returns when a permit for a server may be asked for again, or `None` if it may be now.
+    /// Returns when a permit for a server may be asked for again, or a request sent to it, or `None` if
+    /// that is now.
     pub(crate) fn closed_until(&self, now: Time, server: &str) -> Option<Time> {
         let until = self.closed_until.get(server).copied();
         until.filter(|until| *until > now)
     }
+
+    /// Closes a server for requests that need no coordinator.
+    pub(crate) fn close(&mut self, server: &Name, until: Time) {
+        let closed_until = self.closed_until.entry(server.clone()).or_default();
+        *closed_until = until.max(*closed_until);
+    }
+
+    /// Forgets servers that are no longer listed.
+    pub(crate) fn retain(&mut self, is_listed: impl Fn(&Name) -> bool) {
+        self.closed_until.retain(|server, _| is_listed(server));
+        self.pacers.retain(|server, _| is_listed(server));
+    }
 }
 
 impl Instance {
@@ -113,10 +126,6 @@
         let rate = hertz(stated.map_or(request.rate, |rate| rate.min(request.rate)))
             * self.members.live_part(None);
         let now = self.now;
-        let servers = &self.servers;
-        self.permits
-            .pacers
-            .retain(|name, _| servers.contains_key(name) || *name == request.server);
         let (boot, pacer) = self
             .permits
             .pacers
@@ -163,7 +172,7 @@
         placement.permit = None;
         let backoff = wait.clamp(DENIED_BACKOFF_MIN, DENIED_BACKOFF_MAX);
         let closed_until = self.now + backoff;
-        self.permits.closed_until.insert(server, closed_until);
+        self.permits.close(&server, closed_until);
         self.set_timer(id, self.now);
     }
 
@@ -200,9 +209,7 @@
                     pending.server
                 );
                 self.log("limit", true, text);
-                self.permits
-                    .closed_until
-                    .insert(pending.server, closed_until);
+                self.permits.close(&pending.server, closed_until);
                 false
             }
         }
--- a/crates/exchange/src/relay/notice.rs
+++ b/crates/exchange/src/relay/notice.rs
@@ -59,6 +59,7 @@
         if is_foreign || (notice.limit == RateLimit::Absent && !has_limited_servers) {
             notice.limit = RateLimit::Unknown;
         }
+        notice.strain = notice.strain.filter(|_| !is_foreign);
         self.send(notice).await;
     }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -294,6 +294,15 @@
     RequestPermit(limit::PermitRequest),
     /// Answers a [`Body::RequestPermit`].
     Permit(limit::Permit),
+    /// Reports a brittle backend server that has rejected a request.
+    Strained {
+        /// Name of the server.
+        server: Name,
+        /// Boot id of the server.
+        boot: BootId,
+        /// Time for which the server is left alone, in milliseconds.
+        backoff_ms: u32,
+    },
 }
 
 /// Error of decoding or checking a frame.
