Move what an instance's connections show into one module, and let ends of limits lapse

The events of requests that were handed over were handled in three places of the request's lifecycle. The end of a limit was gossiped for as long as its server was listed; ten seconds suffice, since a later response ends a limit that comes back. The log tells requests that are handed over, at both instances.

--- a/crates/core/src/lifecycle.rs
+++ b/crates/core/src/lifecycle.rs
@@ -391,17 +391,8 @@
         if !is_handled {
             return;
         }
-        if let Some(peer) = self.jobs[&id].running().and_then(|running| running.peer) {
-            let ran = match event {
-                Event::Refused | Event::Unreachable => Some(false),
-                Event::Lost { .. } => Some(true),
-                _ => None,
-            };
-            if let Some(ran) = ran {
-                self.attempt_requests.remove(&attempt);
-                self.on_hand_over_failed(id, peer, ran);
-                return;
-            }
+        if self.on_peer_event(id, &event) {
+            return;
         }
         if !is_silent {
             self.record_path(id, &event);
@@ -440,27 +431,6 @@
         }
     }
 
-    /// Records what an event of a job's attempt shows of the path to the attempt's server.
-    fn record_path(&mut self, id: RequestId, event: &Event) {
-        let Some(running) = self.jobs[&id].running().filter(|r| r.peer.is_none()) else {
-            return;
-        };
-        let (server, dispatched_at) = (running.server.clone(), running.dispatched_at);
-        match event {
-            Event::Unreachable => self.record_not_reached(&server),
-            Event::Lost { .. } => {
-                self.record_reached(dispatched_at);
-                self.record_not_reached(&server);
-            }
-            Event::Accepted
-            | Event::FirstToken
-            | Event::Complete { .. }
-            | Event::Refused
-            | Event::Failed => self.record_reached(dispatched_at),
-            _ => {}
-        }
-    }
-
     fn on_first_token(&mut self, id: RequestId) {
         let now = self.now;
         if let Some(Phase::Running(running)) = self.jobs.get_mut(&id).map(|job| &mut job.phase) {
@@ -572,14 +542,6 @@
 
     /// Handles an attempt that ran and that its server answered with an error.
     fn on_failed(&mut self, id: RequestId) {
-        if self.jobs[&id]
-            .running()
-            .is_some_and(|running| running.peer.is_some())
-        {
-            // The other instance has made all attempts that the route allows.
-            self.end(id, Reason::ServerError, None);
-            return;
-        }
         self.record_health(id, false);
         self.record_ended(id, End::Failed);
         let Some(job) = self.jobs.get_mut(&id) else {
--- a/crates/core/src/limits.rs
+++ b/crates/core/src/limits.rs
@@ -22,6 +22,8 @@
 
 /// Maximum number of servers whose limit is kept.
 const SERVERS_MAX: usize = 4_096;
+/// Time for which the end of a limit is kept, so that it overrides older statements.
+const END_LIFETIME: Duration = Duration::from_secs(10);
 /// Relative change of a limit from which it is reported to all instances at once.
 const REPORTED_CHANGE: f64 = 0.05;
 
@@ -215,6 +217,10 @@
     /// Sends limits to a random instance, for those that have missed the broadcast or have just
     /// started.
     pub(crate) fn gossip_limits(&mut self) {
+        let now = self.now;
+        self.limits.statements.retain(|_, statement| {
+            statement.rate.is_some() || now.saturating_sub(statement.true_at) < END_LIFETIME
+        });
         if self.limits.statements.is_empty() {
             return;
         }
--- a/crates/core/src/reach.rs
+++ b/crates/core/src/reach.rs
@@ -20,6 +20,7 @@
 use crate::job::Running;
 use crate::lifecycle::UNREACHABLE_RETRY_AFTER;
 use crate::message::Dispatch;
+use crate::message::Event;
 use crate::message::Output;
 use crate::outcome::Reason;
 use crate::settings::Source;
@@ -191,19 +192,52 @@
         true
     }
 
-    /// Handles a request that the other instance has not run, or whose answer was lost. Only the
-    /// former may be handed over again: the other instance may have used all attempts of the latter.
-    pub(crate) fn on_hand_over_failed(&mut self, id: RequestId, peer: InstanceId, ran: bool) {
-        if ran {
-            self.end(id, Reason::Lost, None);
-            return;
+    /// Handles an event that ends the attempt of a request which was handed over without an answer.
+    /// Returns false for any other event, which is handled like that of a server.
+    pub(crate) fn on_peer_event(&mut self, id: RequestId, event: &Event) -> bool {
+        let Some(running) = self.jobs[&id].running().cloned() else {
+            return false;
+        };
+        let Some(peer) = running.peer else {
+            return false;
+        };
+        match event {
+            Event::Refused | Event::Unreachable => {
+                self.attempt_requests.remove(&running.attempt);
+                let until = self.now + PEER_BACKOFF;
+                self.reach.closed_peers.insert(peer, until);
+                if let Some(job) = self.jobs.get_mut(&id) {
+                    job.record_not_run();
+                }
+                self.hand_over(id);
+            }
+            // The other instance may have made all attempts that the route allows.
+            Event::Lost { .. } => self.end(id, Reason::Lost, None),
+            Event::Failed => self.end(id, Reason::ServerError, None),
+            _ => return false,
         }
-        let until = self.now + PEER_BACKOFF;
-        self.reach.closed_peers.insert(peer, until);
-        if let Some(job) = self.jobs.get_mut(&id) {
-            job.record_not_run();
+        true
+    }
+
+    /// Records what an event of a job's attempt shows of the path to the attempt's server.
+    pub(crate) fn record_path(&mut self, id: RequestId, event: &Event) {
+        let Some(running) = self.jobs[&id].running().filter(|r| r.peer.is_none()) else {
+            return;
+        };
+        let (server, dispatched_at) = (running.server.clone(), running.dispatched_at);
+        match event {
+            Event::Unreachable => self.record_not_reached(&server),
+            Event::Lost { .. } => {
+                self.record_reached(dispatched_at);
+                self.record_not_reached(&server);
+            }
+            Event::Accepted
+            | Event::FirstToken
+            | Event::Complete { .. }
+            | Event::Refused
+            | Event::Failed => self.record_reached(dispatched_at),
+            _ => {}
         }
-        self.hand_over(id);
     }
 
     /// Returns an instance that may serve a request in this one's place, one of the own data centre
--- a/crates/exchange/src/relay.rs
+++ b/crates/exchange/src/relay.rs
@@ -260,6 +260,7 @@
                 patience_ms = meta.caller_timeout.map_or(0, millis),
                 prompt = meta.prompt_tokens,
                 expected = meta.expected_tokens.unwrap_or(0),
+                handed_over = meta.handed_over,
                 bytes = payload.len();
                 "relay: Accepted."
             );
@@ -585,6 +586,7 @@
             life = dispatch.boot,
             software = dispatch.software.as_str(),
             attempt = self.attempts,
+            hands_over = dispatch.hands_over,
             copy = copy,
             resumes = dispatch.resume_from.is_some(),
             after = self.progress.last_event_id.unwrap_or(0),
