Estimate the turn of a waiting reservation by all servers' limits

A reservation that was let into the queue of limited servers could be denied only at its deadline: the estimate added the servers' rates up from the first free one on, which is too early by up to an interval. The turns are now taken from the servers' schedules in order. grants_are_spaced_and_reservations_beyond_the_limits_denied_at_once failed before (two of some 950 denied after waiting) and passes now; the other tests of crates/admit/tests/limits.rs passed before, too.

--- a/crates/admit/src/scheduler/limits.rs
+++ b/crates/admit/src/scheduler/limits.rs
@@ -1,31 +1,24 @@
 //! Servers that limit the rate of their requests.
 
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BinaryHeap;
 use std::time::Duration;
 
 use clock::Time;
 use wire::AttemptId;
 use wire::BootId;
+use wire::Name;
 use wire::admission::Denial;
 use wire::admission::Reservation;
 
 use super::Reply;
 use super::Scheduler;
+use crate::pacer::Pacer;
 
-/// The limits of the servers that may run a reservation, if all of them have one.
-#[derive(Clone, Copy, Debug)]
-struct CommonLimit {
-    /// Time until the first of the servers takes a request.
-    wait: Duration,
-    /// Requests per second of all of them together.
-    rate: f64,
-}
-
-impl CommonLimit {
-    /// Returns the time until a request is taken that has others ahead of it.
-    fn wait_behind(&self, ahead: usize) -> Duration {
-        self.wait + Duration::from_secs_f64(ahead as f64 / self.rate)
-    }
-}
+/// Time by which a grant may be later than a server's limit allows it, since queues are served in
+/// ticks.
+const TICK_SLACK: Duration = Duration::from_millis(25);
 
 impl Scheduler {
     /// Sets the rate of requests per second to which a boot of a server limits its requests, or
@@ -58,24 +51,34 @@
     /// Returns for how long a reservation has to wait at least, since all servers that may run it
     /// limit the rate of their requests. Zero if one of them does not.
     pub(super) fn rate_limited_wait(&self, now: Time, reservation: &Reservation) -> Duration {
-        let limit = self.common_limit(now, reservation);
-        limit.map_or(Duration::ZERO, |limit| limit.wait_behind(self.queue.len()))
+        let turns = self.rate_limited_turns(now, reservation, self.queue.len() + 1);
+        turns
+            .last()
+            .map_or(Duration::ZERO, |wait| match wait.is_zero() {
+                true => Duration::ZERO,
+                false => *wait + TICK_SLACK,
+            })
     }
 
     /// Denies the queued reservations that the servers' rate limits leave no place for before their
     /// deadline.
     pub(super) fn deny_beyond_rate_limits(&mut self, now: Time) -> Vec<Reply> {
-        let beyond: Vec<(AttemptId, Duration)> = self
-            .queue
-            .iter()
-            .enumerate()
-            .filter_map(|(ahead, waiting)| {
-                let limit = self.common_limit(now, &waiting.reservation)?;
-                let wait = limit.wait_behind(ahead);
-                let attempt = waiting.reservation.attempt;
-                (now + wait > waiting.deadline).then_some((attempt, wait))
-            })
-            .collect();
+        let count = self.queue.len();
+        let mut turns: BTreeMap<Option<&Name>, Vec<Duration>> = BTreeMap::new();
+        let mut beyond: Vec<(AttemptId, Duration)> = Vec::new();
+        for (ahead, waiting) in self.queue.iter().enumerate() {
+            let reservation = &waiting.reservation;
+            let turns = turns
+                .entry(reservation.software.as_ref())
+                .or_insert_with(|| self.rate_limited_turns(now, reservation, count));
+            let Some(wait) = turns.get(ahead).copied() else {
+                continue;
+            };
+            // The last tick before the deadline may serve one whose turn is then.
+            if now + wait > waiting.deadline + TICK_SLACK {
+                beyond.push((reservation.attempt, wait));
+            }
+        }
         let mut replies = Vec::new();
         for (attempt, wait) in beyond {
             if let Some(waiting) = self.queue.remove(attempt) {
@@ -89,24 +92,30 @@
         replies
     }
 
-    /// Returns the limits of the open servers for a reservation together, or `None` if one of them
-    /// has no limit or there is none.
-    fn common_limit(&self, now: Time, reservation: &Reservation) -> Option<CommonLimit> {
-        let mut common: Option<CommonLimit> = None;
-        for server in self.open_servers_for(now, reservation) {
-            let pacer = server.pacer()?;
-            let wait = pacer.wait(now);
-            common = Some(match common {
-                Some(limit) => CommonLimit {
-                    wait: limit.wait.min(wait),
-                    rate: limit.rate + pacer.rate(),
-                },
-                None => CommonLimit {
-                    wait,
-                    rate: pacer.rate(),
-                },
-            });
+    /// Returns after what times the servers that may run a reservation take the next requests, in
+    /// order. Empty if one of them has no limit or there is none.
+    fn rate_limited_turns(
+        &self,
+        now: Time,
+        reservation: &Reservation,
+        count: usize,
+    ) -> Vec<Duration> {
+        let servers = self.open_servers_for(now, reservation);
+        let pacers: Option<Vec<Pacer>> = servers.map(|server| server.pacer().copied()).collect();
+        let mut pacers = pacers.unwrap_or_default();
+        let mut next: BinaryHeap<Reverse<(Duration, usize)>> = pacers
+            .iter()
+            .enumerate()
+            .map(|(index, pacer)| Reverse((pacer.wait(now), index)))
+            .collect();
+        let mut turns = Vec::new();
+        while turns.len() < count
+            && let Some(Reverse((wait, index))) = next.pop()
+        {
+            turns.push(wait);
+            pacers[index].take(now);
+            next.push(Reverse((pacers[index].wait(now), index)));
         }
-        common
+        turns
     }
 }
