--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -156,11 +156,15 @@
             server,
             age_s: 0,
         }];
+        self.broadcast(&Body::Strikes { strikes });
+    }
+
+    /// Sends a frame to all running instances. It is not acknowledged, so it is sent twice in case one
+    /// is lost.
+    pub(crate) fn broadcast(&mut self, body: &Body) {
         let others: Vec<InstanceId> = self.members.running_others().collect();
-        // The frame is not acknowledged, so it is sent twice in case one is lost.
         for to in others.iter().chain(&others) {
-            let strikes = strikes.clone();
-            self.send(*to, Body::Strikes { strikes });
+            self.send(*to, body.clone());
         }
     }
 
--- a/crates/core/src/limits.rs
+++ b/crates/core/src/limits.rs
@@ -206,12 +206,8 @@
         let Some(limit) = self.limit_message(server) else {
             return;
         };
-        let others: Vec<InstanceId> = self.members.running_others().collect();
-        // The frame is not acknowledged, so it is sent twice in case one is lost.
-        for to in others.iter().chain(&others) {
-            let limits = vec![limit.clone()];
-            self.send(*to, Body::Limits { limits });
-        }
+        let limits = vec![limit];
+        self.broadcast(&Body::Limits { limits });
     }
 
     /// Sends limits to a random instance, for those that have missed the broadcast or have just
--- a/crates/core/src/local.rs
+++ b/crates/core/src/local.rs
@@ -21,7 +21,6 @@
 const REMOTE_COST: f64 = 0.5;
 /// Cost of a server whose requests all fail, in requests that run on it.
 const FAILING_COST: f64 = 8.0;
-
 /// Least retry-after of a request that no server takes in time.
 const CLOSED_RETRY_AFTER_MIN: std::time::Duration = std::time::Duration::from_millis(200);
 
--- a/crates/core/src/notices.rs
+++ b/crates/core/src/notices.rs
@@ -1,7 +1,8 @@
 //! What backend servers state about themselves in the headers of their responses: that they leave,
-//! and that they want no requests of this instance for a while.
+//! that they want no requests of this instance for a while, and that they crash if they have to reject
+//! many. For the rate that they take see [`limits`](crate::limits).
 //!
-//! Both take effect from the response on, before any list or report shows them. An instance that is
+//! All take effect from the response on, before any list or report shows them. An instance that is
 //! cut off from the store and from its peers has no other source for them.
 
 use std::collections::BTreeMap;
@@ -135,18 +136,11 @@
         );
         self.log("place", true, text);
         self.leave_alone(server, boot, backoff);
-        let backoff_ms = millis(backoff);
-        let others: Vec<InstanceId> = self.members.running_others().collect();
-        // The frame is not acknowledged, so it is sent twice in case one is lost.
-        for to in others.iter().chain(&others) {
-            let server = server.clone();
-            let body = Body::Strained {
-                server,
-                boot,
-                backoff_ms,
-            };
-            self.send(*to, body);
-        }
+        self.broadcast(&Body::Strained {
+            server: server.clone(),
+            boot,
+            backoff_ms: millis(backoff),
+        });
     }
 
     /// Sends a server no requests for a time.
--- a/crates/core/src/parts.rs
+++ b/crates/core/src/parts.rs
@@ -157,12 +157,8 @@
     }
 
     fn broadcast_findings(&mut self, findings: &[PartFinding]) {
-        let others: Vec<InstanceId> = self.members.running_others().collect();
-        // The frame is not acknowledged, so it is sent twice in case one is lost.
-        for to in others.iter().chain(&others) {
-            let findings = findings.to_vec();
-            self.send(*to, Body::PartFindings { findings });
-        }
+        let findings = findings.to_vec();
+        self.broadcast(&Body::PartFindings { findings });
     }
 
     /// Sends findings to a random instance, for those that have missed the broadcast.
