--- a/crates/admit/src/scheduler.rs
+++ b/crates/admit/src/scheduler.rs
@@ -200,6 +200,13 @@
             .count()
     }
 
+    /// Returns the server of an assigned attempt.
+    pub fn server_of(&self, attempt: AttemptId) -> Option<&Name> {
+        self.assignments
+            .get(&attempt)
+            .map(|assignment| &assignment.server)
+    }
+
     /// Returns the number of queued reservations.
     pub fn queue_len(&self) -> usize {
         self.queue.len()
--- a/crates/core/src/reach.rs
+++ b/crates/core/src/reach.rs
@@ -154,6 +154,10 @@
             return true;
         };
         job.hand_overs += 1;
+        let text = format!(
+            "Request {id} is handed over to {} in {} (hand-over {}, {} unreachable attempts).",
+            peer.name, peer.data_centre, job.hand_overs, job.unreachable_attempts
+        );
         job.record_dispatch();
         job.phase = Phase::Running(Running {
             attempt,
@@ -174,6 +178,7 @@
             self.set_timer(id, hard_deadline);
         }
         self.attempt_requests.insert(attempt, id);
+        self.log("reach", false, text);
         self.out.push(Output::Dispatch(Dispatch {
             request: id,
             attempt,
@@ -203,6 +208,11 @@
         };
         match event {
             Event::Refused | Event::Unreachable => {
+                let text = format!(
+                    "Request {id} was not run by {} ({event:?}), to which it was handed over.",
+                    running.server
+                );
+                self.log("reach", false, text);
                 self.attempt_requests.remove(&running.attempt);
                 let until = self.now + PEER_BACKOFF;
                 self.reach.closed_peers.insert(peer, until);
