--- /dev/null
+++ b/crates/core/tests/paths.rs
@@ -0,0 +1,162 @@
+//! Instances that lose their paths to backend servers, in a fleet of the size of a large deployment.
+
+mod fleet;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use crate::fleet::APPS;
+use crate::fleet::Cut;
+use crate::fleet::ENGINES;
+use crate::fleet::Fleet;
+use crate::fleet::Kind;
+use crate::fleet::Record;
+
+const INSTANCES: usize = 77;
+const ENGINE_COUNT: usize = 57;
+const APP_COUNT: usize = 3;
+/// Time after which callers of a cut instance are served like those of the others.
+const CONTACT_TIME: Duration = Duration::from_secs(4);
+/// Time for which the paths are cut.
+const CUT_TIME: Duration = Duration::from_secs(10);
+/// Time from a request until its outcome has to be known.
+const OUTCOME_TIME: Duration = Duration::from_secs(4);
+/// Least share of requests served by cut instances, of the share that the others serve.
+const CUT_SHARE_MIN: f64 = 0.9;
+/// Least share of requests served by instances with sound paths.
+const SOUND_SHARE_MIN: f64 = 0.95;
+
+/// Requests that were sent in a time, and how many of them were served.
+#[derive(Clone, Copy, Debug, Default)]
+struct Count {
+    sent: u32,
+    served: u32,
+}
+
+impl Count {
+    fn share(self) -> f64 {
+        f64::from(self.served) / f64::from(self.sent.max(1))
+    }
+}
+
+/// Counts the requests sent to cut and to other instances between two times.
+fn count(
+    fleet: &Fleet,
+    cut: &BTreeSet<usize>,
+    from: Duration,
+    until: Duration,
+    kinds: &[Kind],
+) -> (Count, Count) {
+    let mut counts = [Count::default(); 2];
+    let is_counted = |record: &&Record| {
+        record.sent_at >= from && record.sent_at < until && kinds.contains(&record.kind)
+    };
+    for record in fleet.records.values().filter(is_counted) {
+        let count = &mut counts[usize::from(!cut.contains(&record.instance))];
+        count.sent += 1;
+        count.served += u32::from(record.served_at.is_some());
+    }
+    (counts[0], counts[1])
+}
+
+/// Checks what was promised to callers, whatever the paths did.
+fn check_promises(fleet: &Fleet) {
+    for (id, record) in &fleet.records {
+        if record.kind != Kind::Lookup {
+            assert!(record.runs <= 1, "{id} ran {} times", record.runs);
+        }
+        assert!(
+            !record.refused || record.runs == 0,
+            "{id} was refused and has run"
+        );
+    }
+}
+
+/// Cuts instances off for a time, under load, and checks that callers of cut instances are served
+/// like those of the others.
+fn check_cut(fleet: &mut Fleet, cut: &BTreeSet<usize>, labels: &[&str], how: Cut) {
+    let kinds: Vec<Kind> = [
+        (ENGINES, Kind::Letter),
+        (APPS, Kind::Mark),
+        (APPS, Kind::Lookup),
+    ]
+    .into_iter()
+    .filter(|(label, _)| labels.contains(label))
+    .map(|(_, kind)| kind)
+    .collect();
+    let from = fleet.now + CONTACT_TIME;
+    for label in labels {
+        fleet.cut(cut, label, 1.0, how);
+    }
+    fleet.advance(CUT_TIME);
+    let until = fleet.now;
+    fleet.heal(cut);
+    fleet.advance(OUTCOME_TIME);
+    let all = [Kind::Letter, Kind::Mark, Kind::Lookup];
+    let (of_cut, _) = count(fleet, cut, from, until, &kinds);
+    let (_, of_sound) = count(fleet, cut, from, until, &all);
+    println!("cut {of_cut:?}, sound {of_sound:?}");
+    assert!(
+        of_sound.sent == 0 || of_sound.share() >= SOUND_SHARE_MIN,
+        "sound {of_sound:?}, cut {of_cut:?}"
+    );
+    assert!(
+        of_cut.share() >= CUT_SHARE_MIN * of_sound.share(),
+        "cut {of_cut:?}, sound {of_sound:?}"
+    );
+    check_promises(fleet);
+}
+
+fn start(seed: u64) -> Fleet {
+    let mut fleet = Fleet::start(INSTANCES, ENGINE_COUNT, APP_COUNT, seed);
+    fleet.advance(Duration::from_secs(3));
+    fleet
+}
+
+#[test]
+fn callers_of_a_whole_data_centre_without_paths_are_served() {
+    for how in [Cut::Silence, Cut::Reset, Cut::NewOnly] {
+        let mut fleet = start(1);
+        let cut = fleet.of_data_centre(0);
+        check_cut(&mut fleet, &cut, &[ENGINES, APPS], how);
+    }
+}
+
+#[test]
+fn callers_are_served_when_three_quarters_of_the_instances_have_no_paths() {
+    for how in [Cut::Silence, Cut::Reset, Cut::NewOnly] {
+        let mut fleet = start(2);
+        let cut = fleet.draw(INSTANCES * 3 / 4);
+        check_cut(&mut fleet, &cut, &[ENGINES, APPS], how);
+    }
+}
+
+#[test]
+fn callers_of_coordinators_without_paths_are_served() {
+    for how in [Cut::Silence, Cut::Reset, Cut::NewOnly] {
+        let mut fleet = start(3);
+        let cut = fleet.coordinators();
+        assert_eq!(cut.len(), 3);
+        check_cut(&mut fleet, &cut, &[ENGINES, APPS], how);
+    }
+}
+
+#[test]
+fn callers_of_one_instance_without_paths_are_served() {
+    let mut fleet = start(4);
+    let cut = BTreeSet::from([20]);
+    // One instance gets few requests in that time.
+    fleet.advance(Duration::from_secs(1));
+    check_cut(&mut fleet, &cut, &[ENGINES, APPS], Cut::Silence);
+}
+
+#[test]
+fn callers_are_served_while_instances_have_no_paths_to_one_service() {
+    for label in [ENGINES, APPS] {
+        for how in [Cut::Silence, Cut::NewOnly] {
+            let mut fleet = start(5);
+            let cut = fleet.draw(INSTANCES / 2);
+            check_cut(&mut fleet, &cut, &[label], how);
+        }
+    }
+}
