Test the paths to a service's other servers when one of them is not reached

What callers saw: 132 of 236 requests served by instances without paths to one service only, 700 of 722 by the others. Cause: a cut was known by the few requests of an instance alone, for all services together, and any connection to any server ended it. Now a failure is followed by connections to four other servers of its service, which show within one connection timeout whether the paths or the server failed; while paths are lost they are tested four times a second. One server in reach no longer ends the belief. A lost connection leads to tests and is no evidence by itself. A request whose second server is not reached either is handed over.

Ruled out: tests by requests of callers (one in 0.5 s was lost to it). The fleet of tests/origins.rs plays hand-overs.

--- a/crates/core/src/coordinator.rs
+++ b/crates/core/src/coordinator.rs
@@ -589,7 +589,7 @@
                 format!("Server {server} did not answer a probe."),
             );
             self.record_not_reached(server);
-            if !self.is_cut_off() {
+            if !self.lacks_paths_of(server) {
                 let text = format!("Server {server} is closed, as it did not answer a probe.");
                 self.log("home", false, text);
                 for scheduler in self.coordinator.schedulers.values_mut() {
@@ -598,7 +598,7 @@
             }
             return;
         };
-        self.record_reached(sent_at);
+        self.record_reached(server, sent_at);
         let rebooted = self
             .baseline
             .loads
--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -210,6 +210,9 @@
             Input::ServerNotice(server, boot, sent_at, notice) => {
                 self.on_server_notice(&server, boot, sent_at, &notice);
             }
+            Input::PathTested(server, started_at, reached) => {
+                self.on_path_tested(&server, started_at, reached);
+            }
             Input::Store(id, answer) => self.on_store_answer(id, answer),
             Input::List(listed) => self.on_list(listed),
             Input::ServerList(list) => self.on_server_list_read(list),
@@ -238,6 +241,7 @@
             self.store.next_wake(),
             self.config.next_wake(),
             self.list_state.next_wake(),
+            self.next_path_test(),
             Some(self.next_orders),
         ];
         wakes.into_iter().flatten().min()
@@ -410,6 +414,7 @@
     /// Runs all periodic work that is due, and sends the store calls that may be sent.
     fn run_timers(&mut self) {
         self.expire_kept_servers();
+        self.tick_reach();
         self.tick_jobs();
         self.tick_coordinator();
         self.tick_settlements();
--- a/crates/core/src/lifecycle.rs
+++ b/crates/core/src/lifecycle.rs
@@ -509,8 +509,9 @@
     /// Handles an attempt that is proved not to have run: it was refused or never sent.
     fn on_not_run(&mut self, id: RequestId, end: End) {
         // What a cut instance sees is no reason for the coordinator to close the server.
+        let lacks_paths = self.lacks_paths_to_attempt(id);
         let reported = match end {
-            End::Unreachable if self.is_cut_off() => End::Unused,
+            End::Unreachable if lacks_paths => End::Unused,
             end => end,
         };
         self.record_ended(id, reported);
@@ -534,7 +535,7 @@
                 self.health.record_unreachable(self.now, &server);
             }
         }
-        if end == End::Unreachable && self.is_cut_off() && self.hand_over(id) {
+        if end == End::Unreachable && self.hand_over_unreachable(id) {
             return;
         }
         self.wait_for_retry(id, Duration::ZERO);
@@ -563,7 +564,7 @@
 
     /// Handles an attempt that its server lost while it ran.
     fn on_lost(&mut self, id: RequestId, crashed: bool, delivered: u32) {
-        let crashed = crashed && !self.is_cut_off();
+        let crashed = crashed && !self.lacks_paths_to_attempt(id);
         self.record_delivered(id, delivered);
         self.record_health(id, false);
         let end = if crashed {
@@ -804,6 +805,12 @@
         self.attempt_requests.retain(|_, request| *request != id);
     }
 
+    /// Returns whether this instance has lost its paths to the servers like that of a job's attempt.
+    fn lacks_paths_to_attempt(&self, id: RequestId) -> bool {
+        let running = self.jobs.get(&id).and_then(|job| job.running());
+        running.is_some_and(|running| self.lacks_paths_of(&running.server))
+    }
+
     fn record_health(&mut self, id: RequestId, success: bool) {
         let server = self.jobs.get(&id).and_then(|job| job.running());
         let server = server.filter(|running| running.peer.is_none());
--- a/crates/core/src/local.rs
+++ b/crates/core/src/local.rs
@@ -82,6 +82,9 @@
         } else if !untried.is_empty() {
             untried
         } else if self.jobs[&id].unreachable_attempts > 0 {
+            if self.hand_over(id) {
+                return;
+            }
             // No server can be reached, and that is unlikely to change soon.
             self.end(id, Reason::NoServer, Some(UNREACHABLE_RETRY_AFTER));
             return;
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -243,6 +243,9 @@
     /// What the given boot of a backend server stated about itself in a response, and when the
     /// request was sent to it.
     ServerNotice(Name, BootId, Time, ServerNotice),
+    /// The result of [`Output::TestPath`]: the server, when the test began, and whether a connection
+    /// was established.
+    PathTested(Name, Time, bool),
     /// The store's answer to the call with this id.
     Store(u64, store::Answer),
     /// The platform's list of instances, and of backend servers where they are listed with them.
@@ -311,6 +314,15 @@
         /// When the probe is sent, to be returned with the report.
         sent_at: Time,
     },
+    /// Open a connection to a backend server, send nothing, and close it.
+    TestPath {
+        /// Name of the server.
+        server: Name,
+        /// Address of the server.
+        address: SocketAddr,
+        /// When the test begins, to be returned with its result.
+        started_at: Time,
+    },
     /// Send an order to an engine, if [`Instance::may_send_order`](crate::Instance::may_send_order)
     /// still allows it.
     Order {
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -505,6 +505,11 @@
             return;
         }
         let age = age + Duration::from_millis(u64::from(grant.age_ms));
+        // The paths may have been lost while the reservation was queued.
+        if kind == ReservationKind::Main && self.hand_over_if_cut_off(id) {
+            self.return_grant(from, grant.attempt);
+            return;
+        }
         if age < GRANT_AGE_MAX && !self.waits_for_opening(id) {
             // The other reservation is withdrawn only once this grant has been dispatched.
             let other = self.other_reservation(id, kind);
--- a/crates/core/src/reach.rs
+++ b/crates/core/src/reach.rs
@@ -1,14 +1,17 @@
 //! The instance's own paths to the backend servers.
 //!
-//! An instance that loses its paths to all servers sees what it would see if all of them had crashed.
-//! It tells the two apart by its own connections: servers that are reached in vain one after the
-//! other, none in between, point to the instance. What it then sees of servers is no evidence
+//! An instance that loses its paths to the servers of a service sees what it would see if all of them
+//! had crashed. After a failure it tests the paths to a few other servers, and tells the two apart by
+//! what they show ([`route::path`]). What it sees of servers while its paths are lost is no evidence
 //! against them or against requests, and it hands its requests over to instances that reach servers.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use clock::Time;
+use route::path::Paths;
 use wire::InstanceId;
 use wire::Name;
 use wire::RequestId;
@@ -25,18 +28,17 @@
 use crate::outcome::Reason;
 use crate::settings::Source;
 
-/// Number of servers that are not reached, with none reached in between, from which on the instance
-/// counts as cut off.
-const CUT_SERVERS_MIN: usize = 2;
-/// Least time between the first and the last of these failures. Several servers may crash at once,
-/// and requests to others take some time to show that those are reached.
-const CUT_TIME_MIN: Duration = Duration::from_millis(400);
-/// Time after which an attempt has a connection unless it was reported as unreachable.
-const CONNECTED_AFTER: Duration = Duration::from_millis(200);
-/// Time for which a failure to reach a server counts.
-const FAILURE_LIFETIME: Duration = Duration::from_secs(3);
-/// Time between two requests that try the own paths of a cut instance.
-const TRIAL_PERIOD: Duration = Duration::from_millis(500);
+/// Least time between two rounds of tests of the paths to one service.
+const TEST_PERIOD: Duration = Duration::from_millis(250);
+/// Number of servers that one round tests.
+const TESTS_PER_ROUND: usize = 4;
+/// Time after which a test that was not answered is forgotten.
+const TEST_TIMEOUT: Duration = Duration::from_secs(1);
+/// Number of servers of a service that are not reached from which on a request whose server is not
+/// reached either is handed over.
+const FAILING_FOR_HAND_OVER: usize = 2;
+/// Number of attempts that do not reach their server after which a request is handed over.
+const UNREACHABLE_BEFORE_HAND_OVER: u32 = 2;
 /// Time for which nothing is handed over to an instance that did not serve a request.
 const PEER_BACKOFF: Duration = Duration::from_secs(1);
 /// Maximum number of instances to which one request is handed over in turn.
@@ -45,91 +47,192 @@
 /// What the instance's connections show of its paths to the servers.
 #[derive(Debug, Default)]
 pub(crate) struct Reach {
-    /// When each server was last not reached.
-    failures: BTreeMap<Name, Time>,
-    /// When a server was first not reached since one was reached.
-    failing_since: Time,
-    /// When the next request tries the own paths of a cut instance.
-    next_trial: Time,
+    /// The paths to the servers of each label.
+    paths: BTreeMap<Name, Paths>,
+    /// The labels to whose servers the paths are lost.
+    lost: BTreeSet<Name>,
+    /// When each label was last tested.
+    tested_at: BTreeMap<Name, Time>,
+    /// The servers under test, with the time at which the test began.
+    tests: BTreeMap<Name, Time>,
     /// Instances that did not serve a request that was handed over, with the end of their backoff.
     closed_peers: BTreeMap<InstanceId, Time>,
 }
 
-impl Reach {
-    /// Records that a server was not reached.
-    fn record_failure(&mut self, now: Time, server: &Name) {
-        self.failures
-            .retain(|_, at| now.saturating_sub(*at) < FAILURE_LIFETIME);
-        if self.failures.is_empty() {
-            self.failing_since = now;
+impl Instance {
+    /// Returns whether this instance seems to have lost its paths to all servers of any label.
+    pub fn is_cut_off(&self) -> bool {
+        !self.reach.lost.is_empty()
+    }
+
+    /// Returns whether this instance seems to have lost its paths to the servers of the same label
+    /// as a given one.
+    pub(crate) fn lacks_paths_of(&self, server: &str) -> bool {
+        let label = self.servers.get(server).map(|listed| &listed.label);
+        label.is_some_and(|label| self.reach.lost.contains(label))
+    }
+
+    /// Records that this instance did not reach a server.
+    pub(crate) fn record_not_reached(&mut self, server: &Name) {
+        let Some(label) = self.label_of(server) else {
+            return;
+        };
+        let paths = self.reach.paths.entry(label.clone()).or_default();
+        paths.record_failure(self.now, server);
+        self.update_lost(&label);
+        self.test_paths(&label, None);
+    }
+
+    /// Records that a connection of this instance to a server was opened at a given time.
+    pub(crate) fn record_reached(&mut self, server: &Name, opened_at: Time) {
+        let Some(label) = self.label_of(server) else {
+            return;
+        };
+        let was_lost = self.reach.lost.contains(&label);
+        let paths = self.reach.paths.entry(label.clone()).or_default();
+        paths.record_success(opened_at, server);
+        self.update_lost(&label);
+        if was_lost {
+            self.test_paths(&label, None);
         }
-        self.failures.insert(server.clone(), now);
     }
 
-    /// Records that a connection to a server was established at a given time. One from before the
-    /// failures does not show that the paths are sound now.
-    fn record_success(&mut self, connected_at: Time) {
-        if connected_at >= self.failing_since {
-            self.failures.clear();
+    /// Handles the result of a test of the path to a server.
+    pub(crate) fn on_path_tested(&mut self, server: &Name, started_at: Time, reached: bool) {
+        self.reach.tests.remove(server);
+        match reached {
+            true => self.record_reached(server, started_at),
+            false => self.record_not_reached(server),
         }
     }
 
-    fn is_cut_off(&self, now: Time) -> bool {
-        let is_recent = |at: &&Time| now.saturating_sub(**at) < FAILURE_LIFETIME;
-        let recent = self.failures.values().filter(is_recent);
-        let last = recent.clone().max().copied().unwrap_or_default();
-        let failing_for = last.saturating_sub(self.failing_since);
-        recent.count() >= CUT_SERVERS_MIN && failing_for >= CUT_TIME_MIN
+    fn label_of(&self, server: &str) -> Option<Name> {
+        self.servers.get(server).map(|listed| listed.label.clone())
     }
-}
 
-impl Instance {
-    /// Returns whether this instance seems to have lost its paths to all servers.
-    pub fn is_cut_off(&self) -> bool {
-        self.reach.is_cut_off(self.now) && !self.has_new_connection()
+    /// Forms the belief about the paths to a label's servers anew.
+    fn update_lost(&mut self, label: &Name) {
+        let servers = || {
+            let listed = self.servers.values();
+            listed.filter(|server| server.label == *label).count()
+        };
+        let paths = self.reach.paths.get(label);
+        let is_lost = paths.is_some_and(|paths| paths.are_lost(self.now, servers));
+        let has_changed = match is_lost {
+            true => self.reach.lost.insert(label.clone()),
+            false => self.reach.lost.remove(label),
+        };
+        if !has_changed {
+            return;
+        }
+        let failing = self.failing_count(label);
+        let text = match is_lost {
+            true => format!(
+                "This instance seems to be cut off from the servers of {label}: {failing} are not reached."
+            ),
+            false => format!("Servers of {label} are reached again, {failing} are not."),
+        };
+        self.log("reach", true, text);
     }
 
-    /// Returns whether an attempt has established a connection since servers are not reached.
-    fn has_new_connection(&self) -> bool {
-        let attempts = self.jobs.values().filter_map(|job| job.running());
-        let mut to_servers = attempts.filter(|running| running.peer.is_none());
-        to_servers.any(|running| {
-            running.dispatched_at >= self.reach.failing_since
-                && self.now.saturating_sub(running.dispatched_at) >= CONNECTED_AFTER
-        })
+    /// Returns how many servers of a label were not reached when last tried.
+    fn failing_count(&self, label: &Name) -> usize {
+        let paths = self.reach.paths.get(label);
+        paths.map_or(0, |paths| paths.failing(self.now).count())
     }
 
-    /// Records that this instance did not reach a server, or lost its connection to it.
-    pub(crate) fn record_not_reached(&mut self, server: &Name) {
-        let was_cut_off = self.is_cut_off();
-        self.reach.record_failure(self.now, server);
-        if !was_cut_off && self.is_cut_off() {
-            let text =
-                "No server is reached any more: this instance seems to be cut off from them.";
-            self.log("reach", true, text.into());
+    /// Opens connections to some servers of a label, to see which of them are reached. The given one
+    /// is among them; the others are those that were not tried for the longest time.
+    pub(crate) fn test_paths(&mut self, label: &Name, server: Option<&Name>) {
+        let tested_at = self.reach.tested_at.get(label).copied();
+        if tested_at.is_some_and(|at| self.now.saturating_sub(at) < TEST_PERIOD) {
+            return;
+        }
+        let (now, timeout) = (self.now, TEST_TIMEOUT);
+        self.reach
+            .tests
+            .retain(|_, started_at| now.saturating_sub(*started_at) < timeout);
+        let paths = self.reach.paths.get(label);
+        let mut candidates: Vec<(bool, Time, u64, Name, SocketAddr)> = Vec::new();
+        for listed in self.servers.values() {
+            if listed.label != *label
+                || listed.leaving
+                || self.reach.tests.contains_key(&listed.name)
+            {
+                continue;
+            }
+            let tried_at = paths.and_then(|paths| paths.tried_at(&listed.name));
+            candidates.push((
+                Some(&listed.name) != server,
+                tried_at.unwrap_or_default(),
+                self.rng.u64(..),
+                listed.name.clone(),
+                listed.address,
+            ));
+        }
+        candidates.sort_unstable();
+        if candidates.is_empty() {
+            return;
+        }
+        self.reach.tested_at.insert(label.clone(), self.now);
+        for (_, _, _, server, address) in candidates.into_iter().take(TESTS_PER_ROUND) {
+            self.reach.tests.insert(server.clone(), self.now);
+            self.out.push(Output::TestPath {
+                server,
+                address,
+                started_at: self.now,
+            });
         }
     }
 
-    /// Records that a connection of this instance to a server was established at a given time.
-    pub(crate) fn record_reached(&mut self, connected_at: Time) {
-        let was_cut_off = self.is_cut_off();
-        self.reach.record_success(connected_at);
-        if was_cut_off && !self.is_cut_off() {
-            self.log("reach", true, "Servers are reached again.".into());
+    /// Tests lost paths again, and forgets what is too old.
+    pub(crate) fn tick_reach(&mut self) {
+        let lost: Vec<Name> = self.reach.lost.iter().cloned().collect();
+        for label in lost {
+            self.update_lost(&label);
+            if self.reach.lost.contains(&label) {
+                self.test_paths(&label, None);
+            }
         }
     }
 
-    /// Hands a request over to another instance if this one is cut off from the servers. Now and then
-    /// a request tries the own paths first. Returns false if the request is to be placed here.
-    pub(crate) fn hand_over_if_cut_off(&mut self, id: RequestId) -> bool {
-        if !self.is_cut_off() {
-            return false;
-        }
-        if self.now >= self.reach.next_trial {
-            self.reach.next_trial = self.now + TRIAL_PERIOD;
+    /// Returns when lost paths are tested next.
+    pub(crate) fn next_path_test(&self) -> Option<Time> {
+        let tested_at = |label| self.reach.tested_at.get(label).copied().unwrap_or_default();
+        let lost = self.reach.lost.iter();
+        lost.map(|label| tested_at(label) + TEST_PERIOD).min()
+    }
+
+    /// Returns the label of the servers that a job needs.
+    fn label_for(&self, id: RequestId) -> Option<Name> {
+        let job = self.jobs.get(&id)?;
+        let pool = self.config().pools.get(&job.route.pool)?;
+        Some(pool.label(&job.route.pool).into())
+    }
+
+    /// Returns whether a request whose server is not reached is handed over rather than tried again
+    /// here.
+    fn should_hand_over(&self, id: RequestId) -> bool {
+        let job = &self.jobs[&id];
+        let Some(label) = self.label_for(id) else {
             return false;
-        }
-        self.hand_over(id)
+        };
+        self.reach.lost.contains(&label)
+            || self.failing_count(&label) >= FAILING_FOR_HAND_OVER
+            || job.unreachable_attempts >= UNREACHABLE_BEFORE_HAND_OVER
+    }
+
+    /// Hands a request over whose server was not reached, if the paths of this instance may be the
+    /// reason. Returns false if it is to be tried again here.
+    pub(crate) fn hand_over_unreachable(&mut self, id: RequestId) -> bool {
+        self.should_hand_over(id) && self.hand_over(id)
+    }
+
+    /// Hands a request over to another instance if this one has no paths to the servers that the
+    /// request needs. Returns false if the request is to be placed here.
+    pub(crate) fn hand_over_if_cut_off(&mut self, id: RequestId) -> bool {
+        let label = self.label_for(id);
+        label.is_some_and(|label| self.reach.lost.contains(&label)) && self.hand_over(id)
     }
 
     /// Hands a request that has not run over to another instance, or refuses it if there is none left
@@ -237,15 +340,17 @@
         let (server, dispatched_at) = (running.server.clone(), running.dispatched_at);
         match event {
             Event::Unreachable => self.record_not_reached(&server),
-            Event::Lost { .. } => {
-                self.record_reached(dispatched_at);
-                self.record_not_reached(&server);
+            // A lost connection or a silence may be the server's or the path's.
+            Event::Lost { .. } | Event::Silent { .. } => {
+                if let Some(label) = self.label_of(&server) {
+                    self.test_paths(&label, Some(&server));
+                }
             }
             Event::Accepted
             | Event::FirstToken
             | Event::Complete { .. }
             | Event::Refused
-            | Event::Failed => self.record_reached(dispatched_at),
+            | Event::Failed => self.record_reached(&server, dispatched_at),
             _ => {}
         }
     }
--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -270,6 +270,13 @@
                 });
                 self.input(index, Input::Report(server, sent_at, report));
             }
+            Output::TestPath {
+                server, started_at, ..
+            } => {
+                let mut engines = self.engines.iter();
+                let reached = engines.any(|engine| engine.server.name == server && engine.up);
+                self.input(index, Input::PathTested(server, started_at, reached));
+            }
             Output::Dispatch(dispatch) if dispatch.hands_over => self.hand_over(index, &dispatch),
             Output::Dispatch(dispatch) => {
                 let now = self.now;
--- a/crates/core/tests/driver/mod.rs
+++ b/crates/core/tests/driver/mod.rs
@@ -143,6 +143,13 @@
             {
                 self.report(server.clone(), *sent_at);
             }
+            if let Output::TestPath {
+                server, started_at, ..
+            } = &output
+            {
+                let tested = Input::PathTested(server.clone(), *started_at, !self.is_cut);
+                self.input(tested);
+            }
             self.outputs.push(output);
         }
     }
--- a/crates/core/tests/fleet/mod.rs
+++ b/crates/core/tests/fleet/mod.rs
@@ -501,6 +501,16 @@
             Output::Probe {
                 server, sent_at, ..
             } => self.on_probe(index, server, sent_at),
+            Output::TestPath {
+                server, started_at, ..
+            } => {
+                if let Some(backend) = self.backend_of(&server) {
+                    let failure = self.connect_failure(index, backend);
+                    let input = Input::PathTested(server, started_at, failure.is_none());
+                    let after = failure.unwrap_or(2 * LINK_TIME);
+                    self.schedule(after, Step::Input(index, input));
+                }
+            }
             Output::Dispatch(dispatch) if dispatch.hands_over => {
                 self.schedule(2 * LINK_TIME, Step::HandOver(index, dispatch));
             }
--- a/crates/core/tests/origins.rs
+++ b/crates/core/tests/origins.rs
@@ -126,6 +126,9 @@
     next_step: u64,
     next_request: RequestId,
     runs: BTreeMap<AttemptId, Run>,
+    requests: BTreeMap<RequestId, Request>,
+    /// The sender and its attempt of each request that was handed over, by receiver.
+    handed_over: BTreeMap<(usize, RequestId), (usize, AttemptId)>,
     records: BTreeMap<RequestId, Record>,
     /// Attempts that ran at another version, or for another pool, than the one that began their
     /// stream.
@@ -236,6 +239,8 @@
             next_step: 0,
             next_request: 1,
             runs: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            handed_over: BTreeMap::new(),
             records: BTreeMap::new(),
             strays: Vec::new(),
             is_held: false,
@@ -305,6 +310,13 @@
             Output::Probe {
                 server, sent_at, ..
             } => self.on_probe(index, server, sent_at),
+            Output::TestPath {
+                server, started_at, ..
+            } => {
+                let reached = self.is_reached(index, &server);
+                self.input(index, Input::PathTested(server, started_at, reached));
+            }
+            Output::Dispatch(dispatch) if dispatch.hands_over => self.hand_over(index, &dispatch),
             Output::Dispatch(dispatch) => {
                 let now = self.now;
                 if let Some(record) = self.records.get_mut(&dispatch.request) {
@@ -315,8 +327,25 @@
             }
             Output::Cancel { attempt, .. } => {
                 self.runs.remove(&attempt);
+                let mut handed_over = self.handed_over.iter();
+                let found = handed_over.find(|(_, sent)| **sent == (index, attempt));
+                if let Some((&(receiver, request), _)) = found {
+                    self.handed_over.remove(&(receiver, request));
+                    self.input(receiver, Input::CallerGone(request));
+                }
             }
             Output::Finish { request, outcome } => {
+                if let Some((sender, attempt)) = self.handed_over.remove(&(index, request)) {
+                    let event = match outcome {
+                        Outcome::Refused(_) => Event::Refused,
+                        _ => Event::Lost {
+                            crashed: true,
+                            delivered: 0,
+                        },
+                    };
+                    self.input(sender, Input::Attempt(attempt, event));
+                    return;
+                }
                 let now = self.now;
                 if let Some(record) = self.records.get_mut(&request) {
                     record.outcome = Some((now, outcome));
@@ -347,6 +376,49 @@
         self.schedule(delay, Step::Frame(to, frame));
     }
 
+    /// Returns whether an instance reaches a server.
+    fn is_reached(&self, index: usize, server: &str) -> bool {
+        let mut engines = self.engines.iter();
+        engines.any(|engine| {
+            engine.up
+                && engine.server.name == server
+                && !self.is_separated(self.data_centre(index), &engine.server.data_centre)
+        })
+    }
+
+    /// Passes a request that an instance hands over to the receiver.
+    fn hand_over(&mut self, sender: usize, dispatch: &Dispatch) {
+        let is_named = |index: &usize| settings(*index).entry.name == dispatch.server;
+        let receiver = (0..self.instances.len()).find(is_named);
+        let receiver = receiver.expect("the instance exists");
+        let is_separated = self.is_separated(self.data_centre(sender), self.data_centre(receiver));
+        if !self.alive[receiver] || is_separated {
+            let event = Input::Attempt(dispatch.attempt, Event::Unreachable);
+            self.input(sender, event);
+            return;
+        }
+        let request = Request {
+            handed_over: true,
+            ..self.requests[&dispatch.request].clone()
+        };
+        let sent = (sender, dispatch.attempt);
+        self.handed_over.insert((receiver, dispatch.request), sent);
+        self.input(receiver, Input::Request(request));
+    }
+
+    /// Passes an event to the instance that made the attempt, and on to the one that handed the
+    /// request over.
+    fn deliver(&mut self, instance: usize, request: RequestId, attempt: AttemptId, event: &Event) {
+        let sent = self.handed_over.get(&(instance, request)).copied();
+        self.input(instance, Input::Attempt(attempt, event.clone()));
+        if let Some((sender, attempt)) = sent {
+            if matches!(event, Event::Complete { .. }) {
+                self.handed_over.remove(&(instance, request));
+            }
+            self.input(sender, Input::Attempt(attempt, event.clone()));
+        }
+    }
+
     fn on_probe(&mut self, index: usize, server: Name, sent_at: Duration) {
         let engine = self
             .engines
@@ -431,12 +503,12 @@
             record.began = true;
             record.origin.get_or_insert(origin);
         }
-        self.input(instance, Input::Attempt(attempt, Event::FirstToken));
+        self.deliver(instance, request, attempt, &Event::FirstToken);
         let progress = Event::Progress {
             generated: 4,
             delivered: 4,
         };
-        self.input(instance, Input::Attempt(attempt, progress));
+        self.deliver(instance, request, attempt, &progress);
         if !self.is_held {
             self.schedule(ANSWER_TIME, Step::Complete(attempt));
         }
@@ -451,7 +523,7 @@
             gap: Duration::from_millis(20),
             answer: wire::ledger::Answer::default(),
         };
-        self.input(run.instance, Input::Attempt(attempt, complete));
+        self.deliver(run.instance, run.request, attempt, &complete);
     }
 
     /// Makes all held attempts send their first event now.
@@ -548,6 +620,21 @@
     fn kill(&mut self, index: usize) {
         self.alive[index] = false;
         self.runs.retain(|_, run| run.instance != index);
+        let handed_over = std::mem::take(&mut self.handed_over);
+        for ((receiver, request), (sender, attempt)) in handed_over {
+            if receiver == index {
+                let lost = Event::Lost {
+                    crashed: true,
+                    delivered: 0,
+                };
+                self.input(sender, Input::Attempt(attempt, lost));
+            } else if sender == index {
+                self.input(receiver, Input::CallerGone(request));
+            } else {
+                let sent = (sender, attempt);
+                self.handed_over.insert((receiver, request), sent);
+            }
+        }
     }
 
     fn request(&mut self, index: usize, origin: Option<(Name, Name)>, stream: Stream) -> RequestId {
@@ -589,6 +676,7 @@
             ..Record::default()
         };
         self.records.insert(id, record);
+        self.requests.insert(id, request.clone());
         self.input(index, Input::Request(request));
         id
     }
--- a/crates/exchange/src/connection.rs
+++ b/crates/exchange/src/connection.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use gateway::path;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
@@ -34,9 +35,6 @@
 use crate::codec::ReplicateCall;
 use crate::observed::ObservedStream;
 
-/// Timeout for establishing a connection. The latency between data centres is some milliseconds. A
-/// lost SYN is retransmitted only after 1 s; an attempt at another server is faster.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time without an acknowledgement of sent bytes after which the kernel closes a connection.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// Time between two TCP keepalive probes on an idle connection.
@@ -112,11 +110,8 @@
     address: SocketAddr,
     request: Request<Full<Bytes>>,
 ) -> Result<(ConnectionGuard, Response<ServerBody>), ConnectionError> {
-    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
-    let stream = match connecting.await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(_)) | Err(_) => return Err(ConnectionError::Unreachable),
-    };
+    let stream = path::connect(address).await;
+    let stream = stream.map_err(|_| ConnectionError::Unreachable)?;
     detect_dead_peer(&stream);
     let received = Arc::new(AtomicUsize::new(0));
     let received_since_part = received.clone();
--- a/crates/gateway/src/decider.rs
+++ b/crates/gateway/src/decider.rs
@@ -144,6 +144,9 @@
     /// Requests a backend server's report and passes it to the decider, together with the given
     /// time at which the probe was requested.
     pub probe_server: Box<dyn Fn(Name, SocketAddr, Time) + Send + Sync>,
+    /// Opens a connection to a backend server and passes to the decider whether it was established,
+    /// together with the given time at which the test was requested.
+    pub test_path: Box<dyn Fn(Name, SocketAddr, Time) + Send + Sync>,
     /// Sends a reconcile order to an engine.
     pub send_order: Box<dyn Fn(SocketAddr, reconcile::Order) + Send + Sync>,
 }
@@ -236,6 +239,11 @@
                 address,
                 sent_at,
             } => (wiring.effects.probe_server)(server, address, sent_at),
+            Output::TestPath {
+                server,
+                address,
+                started_at,
+            } => (wiring.effects.test_path)(server, address, started_at),
             Output::Order { address, order } => {
                 // The process may have been paused since the decision, so checks again right before
                 // sending that this instance still holds the lease.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,6 +34,7 @@
 //! - [`platform`]: HTTP client for the platform's key-value store and its list.
 //! - [`peers`]: sends and receives frames between instances.
 //! - [`partition`]: simulated network partitions, for experiments.
+//! - [`path`]: connections to backend servers, and tests whether one can be established.
 //! - [`http`]: helpers for HTTP servers and clients.
 //! - [`metrics`]: counters and histograms.
 
@@ -49,6 +50,7 @@
 pub mod node;
 pub mod operators;
 pub mod partition;
+pub mod path;
 pub mod peers;
 pub mod platform;
 pub mod relay;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -27,6 +27,7 @@
 use crate::operators;
 use crate::operators::Operators;
 use crate::partition::Partition;
+use crate::path;
 use crate::platform;
 use crate::platform::Platform;
 use crate::platform::SendCall;
@@ -231,7 +232,9 @@
     decider: Address<Decider>,
 ) -> Effects {
     let order_client = client.clone();
+    let test_path = path::tester(decider.clone(), partition.clone());
     Effects {
+        test_path,
         call_store: Box::new(move |sent| {
             let platform = platform.clone();
             tokio::spawn(async move {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -14,10 +14,12 @@
 //!
 //! - [`choice`]: selection of data centres.
 //! - [`health`]: passive health of servers, from the outcomes of their requests.
+//! - [`path`]: an instance's belief about its own paths to servers.
 //! - [`prefix`]: approximate index of the engines' prefix caches.
 //! - [`retry`]: the retry budget and backoff.
 
 pub mod choice;
 pub mod health;
+pub mod path;
 pub mod prefix;
 pub mod retry;
--- a/crates/soak/src/simulation/node.rs
+++ b/crates/soak/src/simulation/node.rs
@@ -116,6 +116,12 @@
                 let report = self.probe_server(index, &server);
                 self.schedule_input(index, Input::Report(server, sent_at, report));
             }
+            Output::TestPath {
+                server, started_at, ..
+            } => {
+                let reached = self.probe_server(index, &server).is_some();
+                self.schedule_input(index, Input::PathTested(server, started_at, reached));
+            }
             Output::Order { order, .. } => {
                 if let Some(Server {
                     backend: Backend::Engine(engine),
