Tell all instances which paths are lost, and hand requests over to instances with sound ones

What callers saw: 32 of 468 requests served by a whole data centre of 26 instances without paths, 844 of 1,035 by three quarters of the fleet; the others served all. Cause: the instance to hand a request over to was drawn from the own data centre as long as one there was not in backoff, and nothing was known of its paths, so that four draws met four that were cut off as well.

Now each instance states to all others which services it has lost its paths to, when that changes and every 8 s, and one of them each probe period passes statements on for those that missed them. An instance tests its own paths when a neighbour states a loss. Ruled out: readiness, which takes whole instances out of service and not their open connections.

The frame is a new kind at the end; what knows is unchanged.

--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -68,6 +68,7 @@
                 let backoff = Duration::from_millis(u64::from(backoff_ms));
                 self.leave_alone(&server, boot, backoff);
             }
+            Body::Paths { statements } => self.on_path_statements(&statements),
             Body::Limits { limits } => self.on_limits(&limits),
             Body::RequestPermit(request) => self.on_permit_request(from, &request),
             Body::Permit(permit) => self.on_permit(permit),
@@ -188,6 +189,7 @@
         self.send_all(tick.sends);
         self.gossip_findings();
         self.gossip_limits();
+        self.gossip_paths();
     }
 
     /// Updates the strikes, leaving servers and configuration version that this instance gossips.
--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -28,6 +28,7 @@
 use crate::claims::Settlements;
 use crate::config::ConfigState;
 use crate::coordinator::Coordinator;
+use crate::hand_over::HandOvers;
 use crate::job::Job;
 use crate::limits::Limits;
 use crate::listing::ListState;
@@ -104,6 +105,7 @@
     pub(crate) limits: Limits,
     pub(crate) permits: Permits,
     pub(crate) reach: Reach,
+    pub(crate) hand_overs: HandOvers,
     pub(crate) jobs: BTreeMap<RequestId, Job>,
     /// The request of each running attempt and of each reservation's attempt.
     pub(crate) attempt_requests: BTreeMap<AttemptId, RequestId>,
@@ -158,6 +160,7 @@
             limits: Limits::default(),
             permits: Permits::default(),
             reach: Reach::default(),
+            hand_overs: HandOvers::default(),
             jobs: BTreeMap::new(),
             attempt_requests: BTreeMap::new(),
             timers: BTreeSet::new(),
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -50,7 +50,8 @@
 //! - `notices`: what backend servers state about themselves in their responses.
 //! - `limits`: rates to which backend servers limit their requests.
 //! - `permits`: permits to send a request to a limited server without a coordinator.
-//! - `reach`: the instance's own paths to the servers, and requests that are handed over.
+//! - `reach`: the instance's own paths to the servers, and what others state about theirs.
+//! - `hand_over`: requests that are handed over to other instances.
 //! - `config`: following the configuration and accepting changes to it.
 //! - `forwarding`: forwarding of an external configuration within a data centre.
 //! - `gossip`: frames between instances, and membership.
@@ -64,6 +65,7 @@
 mod copies;
 mod forwarding;
 mod gossip;
+mod hand_over;
 mod instance;
 pub mod job;
 mod lifecycle;
--- a/crates/core/src/reach.rs
+++ b/crates/core/src/reach.rs
@@ -3,7 +3,8 @@
 //! An instance that loses its paths to the servers of a service sees what it would see if all of them
 //! had crashed. After a failure it tests the paths to a few other servers, and tells the two apart by
 //! what they show ([`route::path`]). What it sees of servers while its paths are lost is no evidence
-//! against them or against requests, and it hands its requests over to instances that reach servers.
+//! against them or against requests. It tells all instances, so that none hands requests over to it,
+//! and [hands its own over](crate::hand_over) to instances that reach servers.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -12,21 +13,18 @@
 
 use clock::Time;
 use route::path::Paths;
+use wire::Body;
 use wire::InstanceId;
 use wire::Name;
 use wire::RequestId;
-use wire::gossip::Entry;
-use wire::gossip::State;
+use wire::path::LABELS_MAX;
+use wire::path::STATEMENTS_MAX;
+use wire::path::Statement;
 
+use crate::coordinator::millis;
 use crate::instance::Instance;
-use crate::job::Phase;
-use crate::job::Running;
-use crate::lifecycle::UNREACHABLE_RETRY_AFTER;
-use crate::message::Dispatch;
 use crate::message::Event;
 use crate::message::Output;
-use crate::outcome::Reason;
-use crate::settings::Source;
 
 /// Least time between two rounds of tests of the paths to one service.
 const TEST_PERIOD: Duration = Duration::from_millis(250);
@@ -34,15 +32,14 @@
 const TESTS_PER_ROUND: usize = 4;
 /// Time after which a test that was not answered is forgotten.
 const TEST_TIMEOUT: Duration = Duration::from_secs(1);
-/// Number of servers of a service that are not reached from which on a request whose server is not
-/// reached either is handed over.
-const FAILING_FOR_HAND_OVER: usize = 2;
-/// Number of attempts that do not reach their server after which a request is handed over.
-const UNREACHABLE_BEFORE_HAND_OVER: u32 = 2;
-/// Time for which nothing is handed over to an instance that did not serve a request.
-const PEER_BACKOFF: Duration = Duration::from_secs(1);
-/// Maximum number of instances to which one request is handed over in turn.
-const HAND_OVERS_MAX: u32 = 4;
+/// Least time between two statements of this instance that are sent to all others.
+const STATEMENT_PERIOD: Duration = Duration::from_millis(500);
+/// Time after which an instance whose paths are lost confirms its statement.
+const CONFIRMATION_PERIOD: Duration = Duration::from_secs(8);
+/// Time after which a statement that was not confirmed is forgotten.
+const STATEMENT_LIFETIME: Duration = Duration::from_secs(20);
+/// Maximum number of instances whose statements are kept.
+const STATEMENTS_KEPT_MAX: usize = 4_096;
 
 /// What the instance's connections show of its paths to the servers.
 #[derive(Debug, Default)]
@@ -55,8 +52,38 @@
     tested_at: BTreeMap<Name, Time>,
     /// The servers under test, with the time at which the test began.
     tests: BTreeMap<Name, Time>,
-    /// Instances that did not serve a request that was handed over, with the end of their backoff.
-    closed_peers: BTreeMap<InstanceId, Time>,
+    /// What other instances have stated about their paths.
+    peers: BTreeMap<InstanceId, PeerPaths>,
+    /// Number of the newest statement of this instance.
+    number: u64,
+    /// When that statement was last sent to all others.
+    stated_at: Time,
+    /// Whether the belief has changed since.
+    has_news: bool,
+}
+
+/// What another instance has stated about its paths.
+#[derive(Clone, Debug)]
+struct PeerPaths {
+    number: u64,
+    /// When the instance last confirmed the statement.
+    confirmed_at: Time,
+    /// Labels to whose servers the instance has lost its paths.
+    lost: Vec<Name>,
+}
+
+impl Reach {
+    /// Returns whether the paths to the servers of a label are lost.
+    pub(crate) fn is_lost(&self, label: &Name) -> bool {
+        self.lost.contains(label)
+    }
+
+    /// Returns whether another instance has stated that it has lost its paths to the servers of a
+    /// label.
+    pub(crate) fn is_lost_at(&self, instance: InstanceId, label: &Name) -> bool {
+        let peer = self.peers.get(&instance);
+        peer.is_some_and(|peer| peer.lost.contains(label))
+    }
 }
 
 impl Instance {
@@ -133,10 +160,104 @@
             false => format!("Servers of {label} are reached again, {failing} are not."),
         };
         self.log("reach", true, text);
+        self.reach.has_news = true;
+        self.state_paths();
+    }
+
+    /// Sends a changed belief to all other instances, and confirms it from time to time while paths
+    /// are lost.
+    fn state_paths(&mut self) {
+        let waited = self.now.saturating_sub(self.reach.stated_at);
+        let is_due = match self.reach.has_news {
+            true => waited >= STATEMENT_PERIOD || self.reach.number == 0,
+            false => waited >= CONFIRMATION_PERIOD && !self.reach.lost.is_empty(),
+        };
+        if !is_due {
+            return;
+        }
+        self.reach.number += u64::from(self.reach.has_news);
+        self.reach.has_news = false;
+        self.reach.stated_at = self.now;
+        let statements = vec![self.own_statement()];
+        self.broadcast(&Body::Paths { statements });
+    }
+
+    fn own_statement(&self) -> Statement {
+        Statement {
+            instance: self.id(),
+            number: self.reach.number,
+            age_ms: millis(self.now.saturating_sub(self.reach.stated_at)),
+            lost: self.reach.lost.iter().take(LABELS_MAX).cloned().collect(),
+        }
+    }
+
+    /// Handles what instances have stated about their paths.
+    pub(crate) fn on_path_statements(&mut self, statements: &[Statement]) {
+        let own = self.own_data_centre();
+        for statement in statements {
+            let id = statement.instance;
+            let age = Duration::from_millis(u64::from(statement.age_ms));
+            let known = self.reach.peers.get(&id);
+            let is_known = known.is_some() || self.reach.peers.len() < STATEMENTS_KEPT_MAX;
+            if id == self.id() || age >= STATEMENT_LIFETIME || !is_known {
+                continue;
+            }
+            let confirmed_at = self.now.saturating_sub(age);
+            let is_newer = known.is_none_or(|known| {
+                (known.number, known.confirmed_at) < (statement.number, confirmed_at)
+            });
+            if !is_newer {
+                continue;
+            }
+            let is_news = known.is_none_or(|known| known.number < statement.number);
+            let lost: Vec<Name> = statement.lost.iter().take(LABELS_MAX).cloned().collect();
+            let peer = PeerPaths {
+                number: statement.number,
+                confirmed_at,
+                lost: lost.clone(),
+            };
+            self.reach.peers.insert(id, peer);
+            // Paths of one data centre are often lost together.
+            let is_near = self.members.entry(id).map(|entry| &entry.data_centre) == Some(&own);
+            for label in lost.iter().filter(|_| is_news && is_near) {
+                self.test_paths(label, None);
+            }
+        }
+    }
+
+    /// Sends some of the statements about lost and restored paths to another instance, for those that
+    /// missed them or have just started.
+    pub(crate) fn gossip_paths(&mut self) {
+        let now = self.now;
+        self.reach
+            .peers
+            .retain(|_, peer| now.saturating_sub(peer.confirmed_at) < STATEMENT_LIFETIME);
+        let is_recent = now.saturating_sub(self.reach.stated_at) < STATEMENT_LIFETIME;
+        let own = (self.reach.number > 0 && is_recent).then(|| self.own_statement());
+        let mut statements: Vec<Statement> = self
+            .reach
+            .peers
+            .iter()
+            .map(|(instance, peer)| Statement {
+                instance: *instance,
+                number: peer.number,
+                age_ms: millis(now.saturating_sub(peer.confirmed_at)),
+                lost: peer.lost.clone(),
+            })
+            .collect();
+        self.rng.shuffle(&mut statements);
+        statements.splice(0..0, own);
+        statements.truncate(STATEMENTS_MAX);
+        let others: Vec<InstanceId> = self.members.running_others().collect();
+        if statements.is_empty() || others.is_empty() {
+            return;
+        }
+        let to = others[self.rng.usize(..others.len())];
+        self.send(to, Body::Paths { statements });
     }
 
     /// Returns how many servers of a label were not reached when last tried.
-    fn failing_count(&self, label: &Name) -> usize {
+    pub(crate) fn failing_count(&self, label: &Name) -> usize {
         let paths = self.reach.paths.get(label);
         paths.map_or(0, |paths| paths.failing(self.now).count())
     }
@@ -194,6 +315,7 @@
                 self.test_paths(&label, None);
             }
         }
+        self.state_paths();
     }
 
     /// Returns when lost paths are tested next.
@@ -203,135 +325,6 @@
         lost.map(|label| tested_at(label) + TEST_PERIOD).min()
     }
 
-    /// Returns the label of the servers that a job needs.
-    fn label_for(&self, id: RequestId) -> Option<Name> {
-        let job = self.jobs.get(&id)?;
-        let pool = self.config().pools.get(&job.route.pool)?;
-        Some(pool.label(&job.route.pool).into())
-    }
-
-    /// Returns whether a request whose server is not reached is handed over rather than tried again
-    /// here.
-    fn should_hand_over(&self, id: RequestId) -> bool {
-        let job = &self.jobs[&id];
-        let Some(label) = self.label_for(id) else {
-            return false;
-        };
-        self.reach.lost.contains(&label)
-            || self.failing_count(&label) >= FAILING_FOR_HAND_OVER
-            || job.unreachable_attempts >= UNREACHABLE_BEFORE_HAND_OVER
-    }
-
-    /// Hands a request over whose server was not reached, if the paths of this instance may be the
-    /// reason. Returns false if it is to be tried again here.
-    pub(crate) fn hand_over_unreachable(&mut self, id: RequestId) -> bool {
-        self.should_hand_over(id) && self.hand_over(id)
-    }
-
-    /// Hands a request over to another instance if this one has no paths to the servers that the
-    /// request needs. Returns false if the request is to be placed here.
-    pub(crate) fn hand_over_if_cut_off(&mut self, id: RequestId) -> bool {
-        let label = self.label_for(id);
-        label.is_some_and(|label| self.reach.lost.contains(&label)) && self.hand_over(id)
-    }
-
-    /// Hands a request that has not run over to another instance, or refuses it if there is none left
-    /// to try. Returns false if there was none from the start.
-    pub(crate) fn hand_over(&mut self, id: RequestId) -> bool {
-        let job = &self.jobs[&id];
-        if job.may_have_run() || self.settings.source != Source::External {
-            return false;
-        }
-        let is_exhausted = job.request.handed_over || job.hand_overs >= HAND_OVERS_MAX;
-        let is_first = !job.request.handed_over && job.hand_overs == 0;
-        let Some(peer) = self.choose_peer().filter(|_| !is_exhausted) else {
-            if !is_first {
-                self.end(id, Reason::NoServer, Some(UNREACHABLE_RETRY_AFTER));
-            }
-            return !is_first;
-        };
-        self.withdraw_all(id);
-        let attempt = self.rng.u64(1..);
-        let list = self.list_position();
-        let Some(job) = self.jobs.get_mut(&id) else {
-            return true;
-        };
-        job.hand_overs += 1;
-        let text = format!(
-            "Request {id} is handed over to {} in {} (hand-over {}, {} unreachable attempts).",
-            peer.name, peer.data_centre, job.hand_overs, job.unreachable_attempts
-        );
-        job.record_dispatch();
-        job.phase = Phase::Running(Running {
-            attempt,
-            server: peer.name.clone(),
-            boot: 0,
-            data_centre: peer.data_centre.clone(),
-            software: Name::default(),
-            dispatched_at: self.now,
-            first_token: None,
-            generated: job.delivered(),
-            resumed: false,
-            replica: None,
-            peer: Some(peer.id),
-        });
-        let hard_deadline = job.hard_deadline;
-        self.clear_timer(id);
-        if let Some(hard_deadline) = hard_deadline {
-            self.set_timer(id, hard_deadline);
-        }
-        self.attempt_requests.insert(attempt, id);
-        self.log("reach", false, text);
-        self.out.push(Output::Dispatch(Dispatch {
-            request: id,
-            attempt,
-            server: peer.name,
-            address: peer.callers,
-            boot: 0,
-            software: Name::default(),
-            priority: 0,
-            rerun: false,
-            copy: None,
-            resume_from: None,
-            silence: None,
-            list,
-            hands_over: true,
-        }));
-        true
-    }
-
-    /// Handles an event that ends the attempt of a request which was handed over without an answer.
-    /// Returns false for any other event, which is handled like that of a server.
-    pub(crate) fn on_peer_event(&mut self, id: RequestId, event: &Event) -> bool {
-        let Some(running) = self.jobs[&id].running().cloned() else {
-            return false;
-        };
-        let Some(peer) = running.peer else {
-            return false;
-        };
-        match event {
-            Event::Refused | Event::Unreachable => {
-                let text = format!(
-                    "Request {id} was not run by {} ({event:?}), to which it was handed over.",
-                    running.server
-                );
-                self.log("reach", false, text);
-                self.attempt_requests.remove(&running.attempt);
-                let until = self.now + PEER_BACKOFF;
-                self.reach.closed_peers.insert(peer, until);
-                if let Some(job) = self.jobs.get_mut(&id) {
-                    job.record_not_run();
-                }
-                self.hand_over(id);
-            }
-            // The other instance may have made all attempts that the route allows.
-            Event::Lost { .. } => self.end(id, Reason::Lost, None),
-            Event::Failed => self.end(id, Reason::ServerError, None),
-            _ => return false,
-        }
-        true
-    }
-
     /// Records what an event of a job's attempt shows of the path to the attempt's server.
     pub(crate) fn record_path(&mut self, id: RequestId, event: &Event) {
         let Some(running) = self.jobs[&id].running().filter(|r| r.peer.is_none()) else {
@@ -354,36 +347,4 @@
             _ => {}
         }
     }
-
-    /// Returns an instance that may serve a request in this one's place, one of the own data centre
-    /// if there is any.
-    fn choose_peer(&mut self) -> Option<Entry> {
-        let now = self.now;
-        self.reach.closed_peers.retain(|_, until| *until > now);
-        let own = self.own_data_centre();
-        let config = self.config();
-        let region = |data_centre: &Name| {
-            let found = config.data_centres.get(data_centre);
-            found.map(|found| found.region.clone())
-        };
-        let own_region = region(&own);
-        let candidates: Vec<&Entry> = self
-            .members
-            .rumours()
-            .filter(|rumour| rumour.state == State::Alive)
-            .map(|rumour| &rumour.entry)
-            .filter(|entry| entry.id != self.settings.entry.id)
-            .filter(|entry| !self.reach.closed_peers.contains_key(&entry.id))
-            .filter(|entry| region(&entry.data_centre) == own_region)
-            .collect();
-        let is_near = |entry: &&&Entry| entry.data_centre == own;
-        let near: Vec<&Entry> = candidates.iter().filter(is_near).copied().collect();
-        let preferred = if near.is_empty() { candidates } else { near };
-        let preferred: Vec<Entry> = preferred.into_iter().cloned().collect();
-        if preferred.is_empty() {
-            return None;
-        }
-        let index = self.rng.usize(..preferred.len());
-        preferred.into_iter().nth(index)
-    }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -30,6 +30,7 @@
 //! - [`gossip`]: the states of instances, and small facts sent along with them.
 //! - [`ledger`]: claims on idempotency keys and their outcomes.
 //! - [`origin`]: the origins of streams.
+//! - [`path`]: paths to backend servers.
 //! - [`server_list`]: the list of backend servers.
 //! - [`seal`]: encoding and authentication of frames.
 
@@ -44,6 +45,7 @@
 pub mod ledger;
 pub mod limit;
 pub mod origin;
+pub mod path;
 pub mod seal;
 pub mod server_list;
 
@@ -92,6 +94,9 @@
 }
 
 /// The message of a frame.
+///
+/// The encoding has no version, so that a kind that a released build knows never changes, and new
+/// kinds are added at the end. A build rejects a frame of a kind that it does not know.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Body {
     /// Probes the receiver, which answers with a [`Body::Ack`].
@@ -303,6 +308,11 @@
         /// Time for which the server is left alone, in milliseconds.
         backoff_ms: u32,
     },
+    /// Sends what instances have stated about their paths to backend servers.
+    Paths {
+        /// The statements.
+        statements: Vec<path::Statement>,
+    },
 }
 
 /// Error of decoding or checking a frame.
