Close a server only when other instances do not reach it either

Cause: one unanswered probe of a coordinator, or one holder's report, closed a server for 1.5 s for all.

Now a coordinator whose probe fails asks two other instances in turn to probe the server, as SWIM does, and closes it when they don't reach it either; meanwhile it gets no grants, but reservations wait. A holder's report leads to a probe. A coordinator that has lost its paths gets its load reports through others. Servers with a rate limit are not probed indirectly. Ruled out: moving the coordinator, which has nowhere to go when a whole data centre is cut off.

Also: an attempt's failure counts from when its connection was begun, so that tests begun together with it count as later. Before, 9 crashes of 57 engines made five instances believe for a moment that they were cut off (crashes_alone_are_no_cut: 10 lines, now 0). After: no denial and no closed server in that test; servers that crash during a cut are closed within 1 s.

--- a/crates/admit/src/scheduler.rs
+++ b/crates/admit/src/scheduler.rs
@@ -341,6 +341,21 @@
         }
     }
 
+    /// Records that a server has crashed under a request.
+    pub fn record_crash(&mut self, now: Time, name: &str) {
+        if let Some(server) = self.servers.get_mut(name) {
+            server.record_crash(now);
+        }
+    }
+
+    /// Sets whether a server may have failed, which is being verified. It gets no grants meanwhile, but
+    /// reservations wait for it.
+    pub fn set_doubted(&mut self, name: &str, is_doubted: bool) {
+        if let Some(server) = self.servers.get_mut(name) {
+            server.set_doubted(is_doubted);
+        }
+    }
+
     /// Applies prefix-cache events of a server, the first of which has number `first`.
     pub fn apply_cache_events(
         &mut self,
--- a/crates/admit/src/scheduler/selection.rs
+++ b/crates/admit/src/scheduler/selection.rs
@@ -141,6 +141,7 @@
     /// not checked.
     fn accepts_grants(&self, now: Time, server: &Server) -> bool {
         server.is_open(now)
+            && !server.is_doubted()
             && self.is_view_reliable(now, server)
             && !server.is_at_cold_rate(now, &self.pool)
             && !server.is_at_rate_limit(now)
--- a/crates/admit/src/server.rs
+++ b/crates/admit/src/server.rs
@@ -102,6 +102,7 @@
     consecutive_jumps: u32,
     closed_until: Time,
     leaving: bool,
+    is_doubted: bool,
     was_unreachable: bool,
     crashed_at: Option<Time>,
     cold_since: Time,
@@ -128,6 +129,7 @@
             consecutive_jumps: 0,
             closed_until: Time::ZERO,
             leaving: false,
+            is_doubted: false,
             was_unreachable: false,
             crashed_at: None,
             cold_since: Time::ZERO,
@@ -366,6 +368,16 @@
         self.closed_until = self.closed_until.max(until);
     }
 
+    /// Sets whether the server may have failed, which is being verified.
+    pub fn set_doubted(&mut self, is_doubted: bool) {
+        self.is_doubted = is_doubted;
+    }
+
+    /// Returns whether the server may have failed, which is being verified.
+    pub fn is_doubted(&self) -> bool {
+        self.is_doubted
+    }
+
     /// Records that the server crashed and lost its running requests.
     pub fn record_crash(&mut self, now: Time) {
         self.crashed_at = Some(now);
--- a/crates/core/src/coordinator.rs
+++ b/crates/core/src/coordinator.rs
@@ -497,6 +497,7 @@
     /// contains progress of an attempt that the scheduler does not know.
     pub(crate) fn on_report(&mut self, holder: InstanceId, report: &Report) {
         self.log_failures(holder, report);
+        let report = &self.verify_failures(report);
         let Some(scheduler) = self.coordinator.schedulers.get_mut(&report.pool) else {
             return;
         };
@@ -509,7 +510,7 @@
         self.deliver_replies(replies);
     }
 
-    /// Logs the attempts of a report whose servers are closed because of them.
+    /// Logs the attempts of a report whose servers are probed because of them.
     fn log_failures(&mut self, holder: InstanceId, report: &Report) {
         let Some(scheduler) = self.coordinator.schedulers.get(&report.pool) else {
             return;
@@ -523,7 +524,7 @@
         let failures: Vec<(Name, End)> = report.items.iter().filter_map(failed).collect();
         let holder = self.instance_name(holder);
         for (server, end) in failures {
-            let text = format!("Server {server} is closed: {holder} reports {end:?}.");
+            let text = format!("Server {server} is probed: {holder} reports {end:?}.");
             self.log("home", false, text);
         }
     }
@@ -588,38 +589,39 @@
                 true,
                 format!("Server {server} did not answer a probe."),
             );
-            self.record_not_reached(server);
-            if !self.lacks_paths_of(server) {
-                let text = format!("Server {server} is closed, as it did not answer a probe.");
-                self.log("home", false, text);
-                for scheduler in self.coordinator.schedulers.values_mut() {
-                    scheduler.record_unreachable(self.now, server);
-                }
-            }
+            self.on_probe_failed(server, sent_at);
             return;
         };
-        self.record_reached(server, sent_at);
+        self.on_probe_answered(server, sent_at, &report.load);
+        self.on_limit_notice(server, report.load.boot, sent_at, report.limit);
+        self.record_server_load(server, report.load);
+        let schedulers = self.coordinator.schedulers.values_mut();
+        for scheduler in schedulers.filter(|scheduler| scheduler.contains_server(server)) {
+            let events = &report.events;
+            scheduler.apply_cache_events(server, report.load.boot, report.first_event, events);
+        }
+        self.record_setup(server, &report);
+    }
+
+    /// Records the load that a server has reported to this instance or to another one.
+    pub(crate) fn record_server_load(&mut self, server: &Name, load: admit::Load) {
         let rebooted = self
             .baseline
             .loads
-            .insert(server.clone(), (self.now, report.load))
-            .is_some_and(|(_, before)| before.boot != report.load.boot);
+            .insert(server.clone(), (self.now, load))
+            .is_some_and(|(_, before)| before.boot != load.boot);
         if rebooted {
             self.coordinator.leaving.remove(server);
         }
-        if report.load.leaving {
-            self.record_leaving(server, report.load.boot, self.now);
+        if load.leaving {
+            self.record_leaving(server, load.boot, self.now);
         }
-        self.on_limit_notice(server, report.load.boot, sent_at, report.limit);
         let mut replies = Vec::new();
         let schedulers = self.coordinator.schedulers.values_mut();
         for scheduler in schedulers.filter(|scheduler| scheduler.contains_server(server)) {
-            scheduler.record_load(self.now, server, report.load);
-            let events = &report.events;
-            scheduler.apply_cache_events(server, report.load.boot, report.first_event, events);
+            scheduler.record_load(self.now, server, load);
             replies.extend(scheduler.serve_queue(self.now));
         }
-        self.record_setup(server, &report);
         self.deliver_replies(replies);
     }
 
@@ -707,6 +709,10 @@
             }
         }
         for (server, address) in probed {
+            if self.lacks_paths_of(&server) && self.settings.source == Source::External {
+                self.inquire(&server, false);
+                continue;
+            }
             let sent_at = self.now;
             self.out.push(Output::Probe {
                 server,
--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -68,6 +68,8 @@
                 let backoff = Duration::from_millis(u64::from(backoff_ms));
                 self.leave_alone(&server, boot, backoff);
             }
+            Body::ProbeServer { server } => self.on_probe_request(from, &server),
+            Body::ServerProbed { server, load } => self.on_server_probed(from, &server, load),
             Body::Paths { statements } => self.on_path_statements(&statements),
             Body::Limits { limits } => self.on_limits(&limits),
             Body::RequestPermit(request) => self.on_permit_request(from, &request),
--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -29,6 +29,7 @@
 use crate::config::ConfigState;
 use crate::coordinator::Coordinator;
 use crate::hand_over::HandOvers;
+use crate::inquiry::Inquiries;
 use crate::job::Job;
 use crate::limits::Limits;
 use crate::listing::ListState;
@@ -106,6 +107,7 @@
     pub(crate) permits: Permits,
     pub(crate) reach: Reach,
     pub(crate) hand_overs: HandOvers,
+    pub(crate) inquiries: Inquiries,
     pub(crate) jobs: BTreeMap<RequestId, Job>,
     /// The request of each running attempt and of each reservation's attempt.
     pub(crate) attempt_requests: BTreeMap<AttemptId, RequestId>,
@@ -161,6 +163,7 @@
             permits: Permits::default(),
             reach: Reach::default(),
             hand_overs: HandOvers::default(),
+            inquiries: Inquiries::default(),
             jobs: BTreeMap::new(),
             attempt_requests: BTreeMap::new(),
             timers: BTreeSet::new(),
@@ -245,6 +248,7 @@
             self.config.next_wake(),
             self.list_state.next_wake(),
             self.next_path_test(),
+            self.inquiries.next_wake(),
             Some(self.next_orders),
         ];
         wakes.into_iter().flatten().min()
@@ -418,6 +422,7 @@
     fn run_timers(&mut self) {
         self.expire_kept_servers();
         self.tick_reach();
+        self.tick_inquiries();
         self.tick_jobs();
         self.tick_coordinator();
         self.tick_settlements();
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -51,6 +51,7 @@
 //! - `limits`: rates to which backend servers limit their requests.
 //! - `permits`: permits to send a request to a limited server without a coordinator.
 //! - `reach`: the instance's own paths to the servers, and what others state about theirs.
+//! - `inquiry`: indirect probes of servers through other instances.
 //! - `hand_over`: requests that are handed over to other instances.
 //! - `config`: following the configuration and accepting changes to it.
 //! - `forwarding`: forwarding of an external configuration within a data centre.
@@ -66,6 +67,7 @@
 mod forwarding;
 mod gossip;
 mod hand_over;
+mod inquiry;
 mod instance;
 pub mod job;
 mod lifecycle;
--- a/crates/core/src/reach.rs
+++ b/crates/core/src/reach.rs
@@ -99,25 +99,25 @@
         label.is_some_and(|label| self.reach.lost.contains(label))
     }
 
-    /// Records that this instance did not reach a server.
-    pub(crate) fn record_not_reached(&mut self, server: &Name) {
+    /// Records that a connection of this instance, begun at a given time, did not reach its server.
+    pub(crate) fn record_not_reached(&mut self, server: &Name, begun_at: Time) {
         let Some(label) = self.label_of(server) else {
             return;
         };
         let paths = self.reach.paths.entry(label.clone()).or_default();
-        paths.record_failure(self.now, server);
+        paths.record_failure(begun_at, server);
         self.update_lost(&label);
         self.test_paths(&label, None);
     }
 
-    /// Records that a connection of this instance to a server was opened at a given time.
-    pub(crate) fn record_reached(&mut self, server: &Name, opened_at: Time) {
+    /// Records that a connection of this instance, begun at a given time, reached its server.
+    pub(crate) fn record_reached(&mut self, server: &Name, begun_at: Time) {
         let Some(label) = self.label_of(server) else {
             return;
         };
         let was_lost = self.reach.lost.contains(&label);
         let paths = self.reach.paths.entry(label.clone()).or_default();
-        paths.record_success(opened_at, server);
+        paths.record_success(begun_at, server);
         self.update_lost(&label);
         if was_lost {
             self.test_paths(&label, None);
@@ -129,7 +129,7 @@
         self.reach.tests.remove(server);
         match reached {
             true => self.record_reached(server, started_at),
-            false => self.record_not_reached(server),
+            false => self.record_not_reached(server, started_at),
         }
     }
 
@@ -332,7 +332,7 @@
         };
         let (server, dispatched_at) = (running.server.clone(), running.dispatched_at);
         match event {
-            Event::Unreachable => self.record_not_reached(&server),
+            Event::Unreachable => self.record_not_reached(&server, dispatched_at),
             // A lost connection or a silence may be the server's or the path's.
             Event::Lost { .. } | Event::Silent { .. } => {
                 if let Some(label) = self.label_of(&server) {
--- a/crates/core/tests/paths.rs
+++ b/crates/core/tests/paths.rs
@@ -160,3 +160,157 @@
         }
     }
 }
+
+/// Counts the log lines since a time that contain a text.
+fn lines(fleet: &Fleet, since: Duration, text: &str) -> usize {
+    let lines = fleet.lines.iter();
+    lines
+        .filter(|(at, _, line)| *at >= since && line.contains(text))
+        .count()
+}
+
+#[test]
+fn coordinators_without_paths_to_half_of_their_engines_deny_nothing_that_others_reach() {
+    for how in [Cut::Silence, Cut::Reset, Cut::NewOnly] {
+        let mut fleet = start(6);
+        let cut = fleet.coordinators();
+        fleet.cut(&cut, ENGINES, 0.5, how);
+        fleet.advance(Duration::from_secs(2));
+        let from = fleet.now;
+        fleet.advance(CUT_TIME);
+        let until = fleet.now;
+        assert_eq!(lines(&fleet, from, "(NoServer"), 0);
+        assert_eq!(lines(&fleet, from, "is closed, as it did not answer"), 0);
+        fleet.heal(&cut);
+        fleet.advance(OUTCOME_TIME);
+        let (of_cut, of_sound) = count(&fleet, &cut, from, until, &[Kind::Letter]);
+        assert!(of_sound.share() >= SOUND_SHARE_MIN, "sound {of_sound:?}");
+        assert!(
+            of_cut.share() >= CUT_SHARE_MIN * of_sound.share(),
+            "cut {of_cut:?}"
+        );
+        check_promises(&fleet);
+    }
+}
+
+#[test]
+fn callers_are_served_while_instances_have_paths_to_some_servers_only() {
+    let all = [Kind::Letter, Kind::Mark, Kind::Lookup];
+    for share in [0.5, 0.75] {
+        let mut fleet = start(7);
+        let cut = fleet.draw(INSTANCES / 2);
+        for label in [ENGINES, APPS] {
+            fleet.cut(&cut, label, share, Cut::Silence);
+        }
+        let from = fleet.now + CONTACT_TIME;
+        fleet.advance(CUT_TIME);
+        let until = fleet.now;
+        fleet.heal(&cut);
+        fleet.advance(OUTCOME_TIME);
+        let (of_cut, of_sound) = count(&fleet, &cut, from, until, &all);
+        assert!(of_sound.share() >= SOUND_SHARE_MIN, "sound {of_sound:?}");
+        assert!(
+            of_cut.share() >= CUT_SHARE_MIN * of_sound.share(),
+            "cut {of_cut:?}, sound {of_sound:?}"
+        );
+        check_promises(&fleet);
+    }
+}
+
+#[test]
+fn callers_are_served_when_a_second_cut_begins_as_the_first_ends() {
+    let mut fleet = start(8);
+    let first = fleet.of_data_centre(1);
+    for label in [ENGINES, APPS] {
+        fleet.cut(&first, label, 1.0, Cut::Silence);
+    }
+    fleet.advance(CUT_TIME);
+    fleet.heal(&first);
+    let second = fleet.of_data_centre(2);
+    check_cut(&mut fleet, &second, &[ENGINES, APPS], Cut::Reset);
+    // The instances of the first cut have served their own callers meanwhile.
+    let from = fleet.now - CUT_TIME;
+    let (of_first, _) = count(
+        &fleet,
+        &first,
+        from,
+        fleet.now - OUTCOME_TIME,
+        &[Kind::Mark],
+    );
+    assert!(of_first.share() >= SOUND_SHARE_MIN, "{of_first:?}");
+}
+
+#[test]
+fn servers_that_crash_while_instances_are_cut_off_are_closed() {
+    let mut fleet = start(9);
+    let cut = fleet.of_data_centre(0);
+    for label in [ENGINES, APPS] {
+        fleet.cut(&cut, label, 1.0, Cut::Silence);
+    }
+    fleet.advance(CONTACT_TIME);
+    let crashed: Vec<usize> = (0..9).collect();
+    let crashed_at = fleet.now;
+    fleet.crash(&crashed);
+    fleet.advance(Duration::from_secs(1));
+    for backend in &crashed {
+        let name = format!("Server engines-{backend} is closed");
+        assert!(lines(&fleet, crashed_at, &name) > 0, "{name}");
+    }
+    assert!(lines(&fleet, crashed_at, "when the server crashed") > 0);
+    let from = fleet.now;
+    fleet.advance(Duration::from_secs(3));
+    let until = fleet.now;
+    fleet.advance(OUTCOME_TIME);
+    let all = [Kind::Letter, Kind::Mark, Kind::Lookup];
+    let (of_cut, of_sound) = count(&fleet, &cut, from, until, &all);
+    assert!(of_sound.share() >= SOUND_SHARE_MIN, "sound {of_sound:?}");
+    assert!(
+        of_cut.share() >= CUT_SHARE_MIN * of_sound.share(),
+        "cut {of_cut:?}"
+    );
+    check_promises(&fleet);
+}
+
+#[test]
+fn crashes_alone_are_no_cut() {
+    let mut fleet = start(10);
+    let crashed_at = fleet.now;
+    let crashed: Vec<usize> = (0..9).collect();
+    fleet.crash(&crashed);
+    fleet.advance(Duration::from_secs(3));
+    assert_eq!(lines(&fleet, crashed_at, "seems to be cut off"), 0);
+    fleet.restart(&crashed);
+    fleet.advance(Duration::from_secs(3));
+    assert_eq!(lines(&fleet, crashed_at, "seems to be cut off"), 0);
+    check_promises(&fleet);
+}
+
+#[test]
+fn cut_by_reset_bars_no_part_of_prompts() {
+    let mut fleet = start(11);
+    let cut = fleet.of_data_centre(0);
+    let cut_at = fleet.now;
+    fleet.cut(&cut, ENGINES, 1.0, Cut::Reset);
+    fleet.advance(Duration::from_secs(4));
+    assert_eq!(lines(&fleet, cut_at, "is barred"), 0);
+    let all = [Kind::Letter];
+    let until = fleet.now;
+    fleet.advance(OUTCOME_TIME);
+    let (_, of_sound) = count(&fleet, &cut, cut_at, until, &all);
+    assert!(of_sound.share() >= SOUND_SHARE_MIN, "sound {of_sound:?}");
+}
+
+#[test]
+fn caller_that_leaves_cancels_what_was_handed_over() {
+    let mut fleet = start(12);
+    let cut = BTreeSet::from([20]);
+    fleet.cut(&cut, ENGINES, 1.0, Cut::Silence);
+    fleet.advance(CONTACT_TIME);
+    fleet.is_loaded = false;
+    let request = fleet.send(20, Kind::Letter);
+    fleet.advance(Duration::from_millis(200));
+    assert_eq!(fleet.run_count(request), 1, "the request was handed over");
+    fleet.leave(request);
+    fleet.advance(Duration::from_millis(50));
+    assert_eq!(fleet.run_count(request), 0);
+}
--- a/crates/route/src/path.rs
+++ b/crates/route/src/path.rs
@@ -15,15 +15,17 @@
 /// Least number of servers that are not reached, with none reached since, if the paths are lost.
 const FAILING_MIN: usize = 2;
 /// Number of such servers from which on the paths are lost whatever time the failures took.
-const FAILING_ENOUGH: usize = 4;
+const FAILING_ENOUGH: usize = 5;
 /// Time between the first and the last failure from which on fewer servers are enough. Two servers
 /// may crash at once.
 const FAILING_TIME: Duration = Duration::from_millis(400);
-/// Number of servers that are not reached for each one that is, from which on the paths count as
-/// lost although a few are left.
+/// Number of servers that are not reached from which on the paths may count as lost although a few are
+/// left.
+const FAILING_MANY: usize = 6;
+/// Number of servers that are not reached for each one that is, from which on they do.
 const FAILING_PER_REACHED: usize = 3;
 
-/// The newest outcome of a connection to one server.
+/// The outcome of the newest connection to one server, with the time at which it was begun.
 #[derive(Clone, Copy, Debug)]
 enum Outcome {
     Reached(Time),
@@ -49,25 +51,28 @@
 }
 
 impl Paths {
-    /// Records that a server was not reached.
-    pub fn record_failure(&mut self, now: Time, server: &str) {
-        self.expire(now);
+    /// Records that a server was not reached by a connection that was begun at a given time.
+    pub fn record_failure(&mut self, begun_at: Time, server: &str) {
         let first = match self.outcomes.get(server) {
             Some(Outcome::Failed { first, .. }) => *first,
-            _ => now,
+            _ => begun_at,
         };
-        let outcome = Outcome::Failed { first, last: now };
-        self.outcomes.insert(server.into(), outcome);
+        let last = begun_at;
+        self.record(begun_at, server, Outcome::Failed { first, last });
     }
 
-    /// Records that a server was reached by a connection that was opened at a given time. An older
-    /// connection does not show that the path is sound now.
-    pub fn record_success(&mut self, opened_at: Time, server: &str) {
-        self.expire(opened_at);
-        let newest = self.outcomes.get(server).map(|outcome| outcome.at());
-        if newest.is_none_or(|newest| newest <= opened_at) {
-            self.outcomes
-                .insert(server.into(), Outcome::Reached(opened_at));
+    /// Records that a server was reached by a connection that was begun at a given time.
+    pub fn record_success(&mut self, begun_at: Time, server: &str) {
+        self.record(begun_at, server, Outcome::Reached(begun_at));
+    }
+
+    /// Records an outcome, unless that of a connection begun later is known.
+    fn record(&mut self, begun_at: Time, server: &str, outcome: Outcome) {
+        self.outcomes
+            .retain(|_, outcome| begun_at.saturating_sub(outcome.at()) < OUTCOME_LIFETIME);
+        let known = self.outcomes.get(server).map(|known| known.at());
+        if known.is_none_or(|known| known <= begun_at) {
+            self.outcomes.insert(server.into(), outcome);
         }
     }
 
@@ -95,7 +100,7 @@
             let enough = FAILING_ENOUGH.min(servers()).max(FAILING_MIN);
             return failing >= enough || (failing >= FAILING_MIN && is_long);
         }
-        failing >= FAILING_ENOUGH && failing >= FAILING_PER_REACHED * reached
+        failing >= FAILING_MANY && failing >= FAILING_PER_REACHED * reached
     }
 
     /// Returns the servers that were not reached when last tried.
@@ -115,9 +120,4 @@
             .iter()
             .filter(move |(_, outcome)| now.saturating_sub(outcome.at()) < OUTCOME_LIFETIME)
     }
-
-    fn expire(&mut self, now: Time) {
-        self.outcomes
-            .retain(|_, outcome| now.saturating_sub(outcome.at()) < OUTCOME_LIFETIME);
-    }
 }
--- a/crates/route/tests/path.rs
+++ b/crates/route/tests/path.rs
@@ -15,7 +15,7 @@
     format!("e{index}")
 }
 
-/// Records what tests of four other servers show.
+/// Records what tests of four other servers show, as after the first failure.
 fn test_others(paths: &mut Paths, at: Duration, reached: impl Fn(usize) -> bool) {
     for index in 10..14 {
         match reached(index) {
@@ -26,7 +26,7 @@
 }
 
 #[test]
-fn paths_are_lost_as_soon_as_tests_of_four_servers_fail() {
+fn paths_are_lost_as_soon_as_tests_of_four_more_servers_fail() {
     let mut paths = Paths::default();
     paths.record_success(ms(0), &server(1));
     paths.record_failure(ms(100), &server(2));
@@ -35,6 +35,14 @@
     assert!(paths.are_lost(ms(250), || SERVERS));
 }
 
+#[test]
+fn servers_reached_by_connections_begun_with_the_failed_one_count() {
+    let mut paths = Paths::default();
+    test_others(&mut paths, ms(0), |index| index != 10);
+    paths.record_failure(ms(500), &server(1));
+    assert!(!paths.are_lost(ms(520), || SERVERS));
+}
+
 #[test]
 fn crashes_of_some_servers_are_no_loss_of_paths() {
     let mut paths = Paths::default();
@@ -59,6 +67,7 @@
 fn one_server_in_reach_does_not_end_the_loss_of_many_paths() {
     let mut paths = Paths::default();
     paths.record_failure(ms(0), &server(1));
+    paths.record_failure(ms(0), &server(3));
     test_others(&mut paths, ms(150), |_| false);
     paths.record_success(ms(300), &server(2));
     assert!(paths.are_lost(ms(300), || SERVERS));
@@ -71,6 +80,7 @@
     let mut paths = Paths::default();
     paths.record_failure(ms(100), &server(1));
     test_others(&mut paths, ms(150), |_| false);
+    assert!(paths.are_lost(ms(150), || SERVERS));
     paths.record_success(ms(50), &server(20));
     paths.record_success(ms(60), &server(1));
     assert!(paths.are_lost(ms(150), || SERVERS));
@@ -80,6 +90,7 @@
 #[test]
 fn outcomes_are_forgotten_after_three_seconds() {
     let mut paths = Paths::default();
+    paths.record_failure(ms(0), &server(1));
     test_others(&mut paths, ms(0), |_| false);
     assert!(paths.are_lost(ms(2_900), || SERVERS));
     assert!(!paths.are_lost(ms(3_100), || SERVERS));
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -313,6 +313,18 @@
         /// The statements.
         statements: Vec<path::Statement>,
     },
+    /// Asks the receiver to probe a backend server that the sender did not reach.
+    ProbeServer {
+        /// Name of the server.
+        server: Name,
+    },
+    /// Answers a [`Body::ProbeServer`].
+    ServerProbed {
+        /// Name of the server.
+        server: Name,
+        /// The load that the server reported, or `None` if it did not answer.
+        load: Option<path::Load>,
+    },
 }
 
 /// Error of decoding or checking a frame.
