Test that streams are refused after all instances were killed at once

Reported by operators of a similar system: after all machines were killed during a release, streams were joined from two versions. Here it does not happen: the test kills all nine instances that know the streams' versions, with servers of both versions listed or those of the old one gone, and takes each stream up 60 times at fresh instances, at once, with and without its name. All are refused as of unknown origin, none is sent to a server. Nothing had to be changed: a fresh instance has not observed the list for long enough.

--- a/crates/core/tests/origins.rs
+++ b/crates/core/tests/origins.rs
@@ -617,6 +617,20 @@
         }
     }
 
+    /// Starts an instance anew at the address of one that was killed.
+    fn restart(&mut self, index: usize) {
+        let mut settings = settings(index);
+        settings.entry.id = self.rng.u64(1_000..);
+        settings.seed = settings.entry.id;
+        self.instances[index] = Instance::new(settings);
+        self.alive[index] = true;
+        let count = self.instances.len();
+        let listed = driver::listed_instances((0..count).map(crate::settings));
+        self.input(index, Input::List(listed));
+        let config = Arc::new(self.config.clone());
+        self.input(index, Input::AdoptConfig(config));
+    }
+
     fn kill(&mut self, index: usize) {
         self.alive[index] = false;
         self.runs.retain(|_, run| run.instance != index);
@@ -1575,3 +1589,48 @@
     println!("Taken up: {}.", fleet.summary(&taken_up));
     fleet.assert_no_strays();
 }
+
+/// Takes streams up at instances that have all been started anew, several times and at once, and checks
+/// that none of them goes on.
+fn check_refused_after_restart(fleet: &mut Fleet, streams: &[RequestId]) {
+    let first = fleet.next_request;
+    for _ in 0..20 {
+        for stream in streams {
+            for index in [0, 1, 5] {
+                let origin = fleet.records[stream].origin.clone();
+                fleet.request(index, origin, Stream::Rest(Some(*stream)));
+                fleet.request(index, None, Stream::Rest(None));
+            }
+        }
+        fleet.advance(Duration::from_millis(500));
+    }
+    fleet.advance(Duration::from_secs(1));
+    assert_eq!(fleet.strays, Vec::<String>::new());
+    let taken_up = fleet.records.range(first..);
+    for (id, record) in taken_up {
+        assert!(record.dispatches.is_empty(), "{id} went on by a guess");
+        assert_eq!(record.refused_because(), Some(Reason::UnknownOrigin));
+    }
+}
+
+#[test]
+fn streams_are_refused_after_all_instances_were_killed_at_once() {
+    // Servers of both versions are there, or those of the old one have just left.
+    for is_old_gone in [false, true] {
+        let mut fleet = Fleet::new(9, engines("engines", &["1", "2"]), 21);
+        let streams: Vec<RequestId> = (0..9).map(|index| fleet.begin(index)).collect();
+        fleet.advance(Duration::from_millis(200));
+        for index in 0..9 {
+            fleet.kill(index);
+        }
+        if is_old_gone {
+            fleet.engines.retain(|engine| engine.server.software == "2");
+            fleet.publish();
+        }
+        for index in 0..9 {
+            fleet.restart(index);
+        }
+        fleet.send_lists(true);
+        check_refused_after_restart(&mut fleet, &streams);
+    }
+}
