Pass a refusal for want of room on instead of handing the request over again

An instance without paths took every refusal of another instance for a sign of lost paths there: at high load it asked up to four instances, whose coordinators are the same, and used none of them for a second, so that soon none was left. A refusal between instances now bears its reason; one for want of room goes to the caller at once with its retry time. A refusal without a reason, as an earlier build sends it, leads to the next instance as before. Shown by request_for_which_the_other_instance_finds_no_room_is_refused_at_once.

--- a/crates/core/src/hand_over.rs
+++ b/crates/core/src/hand_over.rs
@@ -163,6 +163,13 @@
                 }
                 self.hand_over(id);
             }
+            // Other instances would ask the same coordinators.
+            Event::NoRoom { retry_after } => {
+                if let Some(job) = self.jobs.get_mut(&id) {
+                    job.record_not_run();
+                }
+                self.end(id, Reason::Overloaded, Some(*retry_after));
+            }
             // The other instance may have made all attempts that the route allows.
             Event::Lost { .. } => self.end(id, Reason::Lost, None),
             Event::Failed => self.end(id, Reason::ServerError, None),
--- a/crates/core/src/lifecycle.rs
+++ b/crates/core/src/lifecycle.rs
@@ -412,7 +412,7 @@
                 gap,
                 answer,
             } => self.on_complete(id, generated, gap, answer),
-            Event::Refused => self.on_not_run(id, End::Refused),
+            Event::Refused | Event::NoRoom { .. } => self.on_not_run(id, End::Refused),
             Event::Unreachable => self.on_not_run(id, End::Unreachable),
             Event::Failed => self.on_failed(id),
             Event::Copied(replica) => self.on_copied(id, replica),
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -91,6 +91,12 @@
     },
     /// The server refused the attempt without running it.
     Refused,
+    /// The instance to which the request was handed over refused it without running it, as no server has
+    /// room for it.
+    NoRoom {
+        /// Time after which the caller may try again.
+        retry_after: Duration,
+    },
     /// The server could not be reached; nothing was sent.
     Unreachable,
     /// The server ran the attempt and answered with an error.
--- a/crates/core/src/reach.rs
+++ b/crates/core/src/reach.rs
@@ -343,6 +343,7 @@
             | Event::FirstToken
             | Event::Complete { .. }
             | Event::Refused
+            | Event::NoRoom { .. }
             | Event::Failed => self.record_reached(&server, dispatched_at),
             _ => {}
         }
--- a/crates/core/src/silence.rs
+++ b/crates/core/src/silence.rs
@@ -66,7 +66,11 @@
                 self.on_silent_lost(id, *crashed);
                 false
             }
-            Event::Refused | Event::Unreachable | Event::Failed | Event::Diverged { .. } => {
+            Event::Refused
+            | Event::NoRoom { .. }
+            | Event::Unreachable
+            | Event::Failed
+            | Event::Diverged { .. } => {
                 self.drop_silent(id, End::Failed);
                 false
             }
--- a/crates/core/tests/fleet/mod.rs
+++ b/crates/core/tests/fleet/mod.rs
@@ -27,6 +27,7 @@
 use wigeon_core::Settings;
 use wigeon_core::Source;
 use wigeon_core::message::Dispatch;
+use wigeon_core::outcome::Reason;
 use wire::AttemptId;
 use wire::Body;
 use wire::Frame;
@@ -588,9 +589,13 @@
         let is_refused = matches!(outcome, Outcome::Refused(_));
         if let Some((sender, attempt)) = self.origins.remove(&(index, request)) {
             self.receivers.remove(&attempt);
-            let event = match is_refused {
-                true => Event::Refused,
-                false => Event::Lost {
+            let event = match outcome {
+                Outcome::Refused(refusal) if refusal.reason() == Reason::Overloaded => {
+                    let retry_after = refusal.retry_after().unwrap_or_default();
+                    Event::NoRoom { retry_after }
+                }
+                Outcome::Refused(_) => Event::Refused,
+                _ => Event::Lost {
                     crashed: true,
                     delivered: 0,
                 },
--- a/crates/core/tests/paths.rs
+++ b/crates/core/tests/paths.rs
@@ -324,3 +324,10 @@
         check_cut(&mut fleet, &cut, &[ENGINES, APPS], how);
     }
 }
+
+#[test]
+fn callers_of_a_service_with_one_server_are_served_without_a_path_to_it() {
+    let mut fleet = Fleet::start(2, 3, 1, 14);
+    let cut = BTreeSet::from([0]);
+    check_cut(&mut fleet, &cut, &[APPS], Cut::Reset);
+}
--- a/crates/core/tests/reach.rs
+++ b/crates/core/tests/reach.rs
@@ -111,6 +111,22 @@
     assert!(matches!(driver.outcome(1), Some(Outcome::Refused(_))));
 }
 
+#[test]
+fn request_for_which_the_other_instance_finds_no_room_is_refused_at_once() {
+    let mut driver = driver_with_peer(streaming_route());
+    let dispatch = cut_off(&mut driver, 1);
+    let retry_after = Duration::from_millis(2_300);
+    driver.event(&dispatch, Event::NoRoom { retry_after });
+    let Some(Outcome::Refused(refusal)) = driver.outcome(1) else {
+        panic!("the request is not refused");
+    };
+    assert_eq!(refusal.retry_after(), Some(retry_after));
+    // The other instance has sound paths and stays in use.
+    driver.request(2);
+    let next = driver.dispatch(2).expect("the request is dispatched");
+    assert!(next.hands_over);
+}
+
 #[test]
 fn request_whose_answer_the_other_instance_lost_is_not_run_again() {
     let mut driver = driver_with_peer(streaming_route());
--- a/crates/exchange/src/codec.rs
+++ b/crates/exchange/src/codec.rs
@@ -85,6 +85,9 @@
 pub enum ResponseKind {
     /// The server states that it did not execute the request.
     NotExecuted,
+    /// The instance to which the request was handed over refused it, as no server has room for it. The
+    /// caller may try again after this time.
+    NoRoom(Duration),
     /// The request reached another server than the intended one, which did not execute it.
     Misdirected,
     /// The response to this request.
--- a/crates/exchange/src/relay.rs
+++ b/crates/exchange/src/relay.rs
@@ -409,6 +409,7 @@
             let head = ResponseHead::of(&parts);
             match kind {
                 ResponseKind::NotExecuted | ResponseKind::Misdirected => AttemptResult::NotExecuted,
+                ResponseKind::NoRoom(retry_after) => AttemptResult::NoRoom(retry_after),
                 ResponseKind::Unrelated => AttemptResult::Lost,
                 ResponseKind::ServerError => read_response(head, body, guard, true).await,
                 ResponseKind::Response if expects_events && parts.status == StatusCode::OK => {
@@ -453,6 +454,7 @@
         let (event, result) = match result {
             AttemptResult::Unreachable => (Event::Unreachable, "unreachable"),
             AttemptResult::NotExecuted => (Event::Refused, "not-run"),
+            AttemptResult::NoRoom(retry_after) => (Event::NoRoom { retry_after }, "no-room"),
             AttemptResult::ServerError(head, bytes) => {
                 self.server_error = Some((head, bytes));
                 (Event::Failed, "failed")
--- a/crates/exchange/src/relay/response.rs
+++ b/crates/exchange/src/relay/response.rs
@@ -8,6 +8,7 @@
 use hyper::header::CONTENT_LENGTH;
 use hyper::header::TRANSFER_ENCODING;
 use hyper::http::response;
+use std::time::Duration;
 
 use crate::codec::end_to_end_headers;
 use crate::connection::ConnectionGuard;
@@ -56,6 +57,8 @@
     Unreachable,
     /// The server did not execute the request.
     NotExecuted,
+    /// The instance to which the request was handed over refused it, as no server has room for it.
+    NoRoom(Duration),
     /// The connection was lost, or the response belongs to another request. The request may have
     /// run.
     Lost,
