Don't pass a server's notices on to instances that hand requests over

A server that leaves says so in its answers, and an instance that passes such an answer on must soon send it nothing more. An instance that had handed a request over passed the notice on without taking note of it, as it does not know which server it is about. The notice now stays with the instance that has called the server, which tells the others.

--- a/crates/exchange/src/codec.rs
+++ b/crates/exchange/src/codec.rs
@@ -134,6 +134,9 @@
     pub classify: fn(&RequestMeta, &response::Parts) -> ResponseKind,
     /// Returns what a server states about itself in the head of any response.
     pub server_notice: fn(&response::Parts) -> ServerNotice,
+    /// The header fields by which servers state this, in lower case. They are meant for the instance
+    /// that sent the request to the server, and are not passed on to one that handed it over.
+    pub notice_fields: &'static [&'static str],
     /// Returns the call that makes a server replicate a generation's KV memory to another server.
     pub replicate_call: fn(&RequestMeta, &Endpoint) -> ReplicateCall,
     /// Returns the replica's name from the body of the response to that call.
--- a/crates/exchange/src/relay.rs
+++ b/crates/exchange/src/relay.rs
@@ -386,6 +386,7 @@
             false => self.context.codec.classify,
         };
         let is_from_server = !dispatch.hands_over;
+        let notice_fields = self.context.codec.notice_fields;
         let expects_events = self.route.delivery == Delivery::Stream;
         let is_resumed = self.progress.events > 0;
         let address = dispatch.address;
@@ -406,7 +407,12 @@
             if is_from_server {
                 notices.report_response(&parts, kind).await;
             }
-            let head = ResponseHead::of(&parts);
+            let mut head = ResponseHead::of(&parts);
+            if !is_from_server {
+                for field in notice_fields {
+                    head.headers.remove(*field);
+                }
+            }
             match kind {
                 ResponseKind::NotExecuted | ResponseKind::Misdirected => AttemptResult::NotExecuted,
                 ResponseKind::NoRoom(retry_after) => AttemptResult::NoRoom(retry_after),
