Use one type for load reports, and doubt a server while a holder's report is verified

A server that a holder did not reach gets no grants while it is probed, which a lost probe ends after a second. Tests of lost paths are spaced also while all servers are under test: with none left to test, the instance would have woken each millisecond.

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -38,8 +38,9 @@
 pub mod scheduler;
 pub mod server;
 
+pub use wire::path::Load;
+
 pub use crate::scheduler::Decision;
 pub use crate::scheduler::Reply;
 pub use crate::scheduler::Scheduler;
 pub use crate::server::Listing;
-pub use crate::server::Load;
--- a/crates/admit/src/scheduler.rs
+++ b/crates/admit/src/scheduler.rs
@@ -26,6 +26,7 @@
 use wire::admission::Report;
 use wire::admission::Reservation;
 use wire::admission::Work;
+use wire::path::Load;
 
 use self::assignments::Assignment;
 use self::assignments::CANCELLED_RETENTION;
@@ -37,7 +38,6 @@
 use crate::queue::Queue;
 use crate::queue::QueuedReservation;
 use crate::server::Listing;
-use crate::server::Load;
 use crate::server::Server;
 
 /// Time after which a grant expires unless its holder has reported that the attempt runs.
--- a/crates/admit/src/server.rs
+++ b/crates/admit/src/server.rs
@@ -12,6 +12,7 @@
 use conf::Pool;
 use wire::BootId;
 use wire::Name;
+use wire::path::Load;
 
 use crate::memory::Margin;
 use crate::pacer::Pacer;
@@ -64,29 +65,6 @@
     pub drained: bool,
 }
 
-/// Load report of a server. It lags behind the server's state.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct Load {
-    /// Boot id of the server.
-    pub boot: BootId,
-    /// Number of running requests.
-    pub running: u32,
-    /// Number of requests queued inside the server.
-    pub waiting: u32,
-    /// KV cache in use, in tokens.
-    pub used_tokens: u64,
-    /// KV cache size, in tokens. Zero if unknown.
-    pub capacity_tokens: u64,
-    /// Number of preemptions since the server started.
-    pub preemptions: u64,
-    /// Number of requests completed since the server last became cold.
-    pub completed_since_cold: u64,
-    /// Whether the server is about to shut down.
-    pub leaving: bool,
-    /// Whether the server reports itself as cold.
-    pub cold: bool,
-}
-
 /// A coordinator's state of one server.
 #[derive(Clone, Debug)]
 pub struct Server {
--- a/crates/core/src/coordinator.rs
+++ b/crates/core/src/coordinator.rs
@@ -16,8 +16,6 @@
 use wire::Body;
 use wire::BootId;
 use wire::InstanceId;
-use wire::admission::End;
-use wire::admission::Item;
 use wire::admission::Report;
 use wire::admission::Reservation;
 use wire::gossip::Leaving;
@@ -496,8 +494,8 @@
     /// Handles a holder's report of its running attempts, and requests a full report if this one
     /// contains progress of an attempt that the scheduler does not know.
     pub(crate) fn on_report(&mut self, holder: InstanceId, report: &Report) {
-        self.log_failures(holder, report);
-        let report = &self.verify_failures(report);
+        let verified = self.verify_failures(holder, report);
+        let report = verified.as_ref().unwrap_or(report);
         let Some(scheduler) = self.coordinator.schedulers.get_mut(&report.pool) else {
             return;
         };
@@ -510,25 +508,6 @@
         self.deliver_replies(replies);
     }
 
-    /// Logs the attempts of a report whose servers are probed because of them.
-    fn log_failures(&mut self, holder: InstanceId, report: &Report) {
-        let Some(scheduler) = self.coordinator.schedulers.get(&report.pool) else {
-            return;
-        };
-        let failed = |item: &Item| match item {
-            Item::Ended { attempt, end, .. } if matches!(end, End::Crashed | End::Unreachable) => {
-                Some((scheduler.server_of(*attempt)?.clone(), *end))
-            }
-            _ => None,
-        };
-        let failures: Vec<(Name, End)> = report.items.iter().filter_map(failed).collect();
-        let holder = self.instance_name(holder);
-        for (server, end) in failures {
-            let text = format!("Server {server} is probed: {holder} reports {end:?}.");
-            self.log("home", false, text);
-        }
-    }
-
     /// Sends the schedulers' decisions to the instances that made the reservations. Decisions for
     /// this instance are queued.
     fn deliver_replies(&mut self, replies: Vec<Reply>) {
--- a/crates/core/src/inquiry.rs
+++ b/crates/core/src/inquiry.rs
@@ -71,9 +71,8 @@
     }
 
     /// Handles a probe of a server that was answered.
-    pub(crate) fn on_probe_answered(&mut self, server: &Name, sent_at: Time, load: &admit::Load) {
-        self.answer_askers(server, Some(to_wire(load)));
-        self.inquiries.probes.remove(server);
+    pub(crate) fn on_probe_answered(&mut self, server: &Name, sent_at: Time, load: &Load) {
+        self.answer_askers(server, Some(*load));
         self.record_reached(server, sent_at);
         self.end_inquiry(server);
     }
@@ -156,8 +155,11 @@
         }
     }
 
+    /// Ends the doubt about a server.
     fn end_inquiry(&mut self, server: &Name) {
-        if self.inquiries.pending.remove(server).is_some() {
+        let was_asked = self.inquiries.pending.remove(server).is_some();
+        let was_probed = self.inquiries.probes.remove(server).is_some();
+        if was_asked || was_probed {
             self.set_doubted(server, false);
         }
     }
@@ -225,7 +227,7 @@
             self.log("home", false, text);
         }
         self.end_inquiry(server);
-        self.record_server_load(server, from_wire(load));
+        self.record_server_load(server, load);
     }
 
     /// Gives up questions that were not answered.
@@ -239,41 +241,57 @@
         for server in due {
             self.ask_next(&server);
         }
-        self.inquiries
-            .probes
-            .retain(|_, sent_at| now.saturating_sub(*sent_at) < PROBE_TIMEOUT);
+        let probes = self.inquiries.probes.iter();
+        let lost: Vec<Name> = probes
+            .filter(|(_, sent_at)| now.saturating_sub(**sent_at) >= PROBE_TIMEOUT)
+            .map(|(server, _)| server.clone())
+            .collect();
+        for server in lost {
+            self.end_inquiry(&server);
+        }
     }
 
     /// Replaces ends in a holder's report that would close their servers by neutral ones, and verifies
-    /// these servers by probes: the paths of the holder may have failed instead.
-    pub(crate) fn verify_failures(&mut self, report: &Report) -> Report {
-        let mut report = report.clone();
-        let Some(scheduler) = self.coordinator.schedulers.get_mut(&report.pool) else {
-            return report;
+    /// these servers by probes: the paths of the holder may have failed instead. Returns `None` if there
+    /// is none.
+    pub(crate) fn verify_failures(
+        &mut self,
+        holder: InstanceId,
+        report: &Report,
+    ) -> Option<Report> {
+        let is_failure = |item: &Item| match item {
+            Item::Ended { end, .. } => matches!(end, End::Crashed | End::Unreachable),
+            Item::Running { .. } | Item::Progress { .. } => false,
         };
+        let scheduler = self.coordinator.schedulers.get_mut(&report.pool)?;
+        if !report.items.iter().any(is_failure) {
+            return None;
+        }
+        let mut verified = report.clone();
         let mut doubted = Vec::new();
-        for item in &mut report.items {
+        for item in verified.items.iter_mut().filter(|item| is_failure(item)) {
             let Item::Ended { attempt, end, .. } = item else {
                 continue;
             };
-            let verified = match end {
-                End::Unreachable => End::Unused,
-                End::Crashed => End::Failed,
-                _ => continue,
-            };
             let Some(server) = scheduler.server_of(*attempt).cloned() else {
                 continue;
             };
-            if *end == End::Crashed {
-                scheduler.record_crash(self.now, &server);
-            }
-            *end = verified;
-            doubted.push(server);
+            doubted.push((server.clone(), *end));
+            *end = match end {
+                End::Crashed => {
+                    scheduler.record_crash(self.now, &server);
+                    End::Failed
+                }
+                _ => End::Unused,
+            };
         }
-        for server in doubted {
+        let holder = self.instance_name(holder);
+        for (server, end) in doubted {
+            let text = format!("Server {server} is probed: {holder} reports {end:?}.");
+            self.log("home", false, text);
             self.verify_server(&server);
         }
-        report
+        Some(verified)
     }
 
     /// Probes a server that a holder has not reached, by way of another instance if the own paths are
@@ -289,6 +307,7 @@
             return;
         };
         self.inquiries.probes.insert(server.clone(), self.now);
+        self.set_doubted(server, true);
         self.out.push(Output::Probe {
             server: server.clone(),
             address,
@@ -296,31 +315,3 @@
         });
     }
 }
-
-fn to_wire(load: &admit::Load) -> Load {
-    Load {
-        boot: load.boot,
-        running: load.running,
-        waiting: load.waiting,
-        used_tokens: load.used_tokens,
-        capacity_tokens: load.capacity_tokens,
-        preemptions: load.preemptions,
-        completed_since_cold: load.completed_since_cold,
-        leaving: load.leaving,
-        cold: load.cold,
-    }
-}
-
-fn from_wire(load: Load) -> admit::Load {
-    admit::Load {
-        boot: load.boot,
-        running: load.running,
-        waiting: load.waiting,
-        used_tokens: load.used_tokens,
-        capacity_tokens: load.capacity_tokens,
-        preemptions: load.preemptions,
-        completed_since_cold: load.completed_since_cold,
-        leaving: load.leaving,
-        cold: load.cold,
-    }
-}
--- a/crates/core/src/reach.rs
+++ b/crates/core/src/reach.rs
@@ -292,9 +292,6 @@
             ));
         }
         candidates.sort_unstable();
-        if candidates.is_empty() {
-            return;
-        }
         self.reach.tested_at.insert(label.clone(), self.now);
         for (_, _, _, server, address) in candidates.into_iter().take(TESTS_PER_ROUND) {
             self.reach.tests.insert(server.clone(), self.now);
--- a/crates/wire/src/path.rs
+++ b/crates/wire/src/path.rs
@@ -25,8 +25,8 @@
     pub lost: Vec<Name>,
 }
 
-/// The load of a backend server, as the server reports it.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+/// Load report of a backend server. It lags behind the server's state.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Load {
     /// Boot id of the server.
     pub boot: BootId,
