Don't probe servers beyond the rate to which they limit their requests

Found by reading: a coordinator probed a limited server at once when a holder reported it unreachable, beyond the spacing of the server's requests, and instances did so when asked. Such a server is now closed at once, as before the indirect probes. server_that_limits_its_requests_is_not_probed_because_it_was_not_reached failed before.

--- a/crates/core/src/inquiry.rs
+++ b/crates/core/src/inquiry.rs
@@ -172,7 +172,10 @@
 
     /// Handles another instance's request to probe a server for it.
     pub(crate) fn on_probe_request(&mut self, from: InstanceId, server: &Name) {
-        let Some(address) = self.servers.get(server).map(|listed| listed.address) else {
+        let address = self.servers.get(server).map(|listed| listed.address);
+        // The coordinator may not know the server's limit yet.
+        let is_limited = self.rate_limit(server).is_some();
+        let Some(address) = address.filter(|_| !is_limited) else {
             return;
         };
         let now = self.now;
@@ -295,8 +298,14 @@
     }
 
     /// Probes a server that a holder has not reached, by way of another instance if the own paths are
-    /// lost.
+    /// lost. A server that limits its requests is closed at once, as each probe is one of them.
     fn verify_server(&mut self, server: &Name) {
+        if self.rate_limit(server).is_some() {
+            for scheduler in self.coordinator.schedulers.values_mut() {
+                scheduler.record_unreachable(self.now, server);
+            }
+            return;
+        }
         if self.lacks_paths_of(server) {
             self.inquire(server, true);
             return;
--- a/crates/core/src/reach.rs
+++ b/crates/core/src/reach.rs
@@ -248,12 +248,13 @@
         self.rng.shuffle(&mut statements);
         statements.splice(0..0, own);
         statements.truncate(STATEMENTS_MAX);
-        let others: Vec<InstanceId> = self.members.running_others().collect();
-        if statements.is_empty() || others.is_empty() {
+        if statements.is_empty() {
             return;
         }
-        let to = others[self.rng.usize(..others.len())];
-        self.send(to, Body::Paths { statements });
+        let others: Vec<InstanceId> = self.members.running_others().collect();
+        if let Some(to) = self.rng.choice(others) {
+            self.send(to, Body::Paths { statements });
+        }
     }
 
     /// Returns how many servers of a label were not reached when last tried.
--- a/crates/core/tests/reach.rs
+++ b/crates/core/tests/reach.rs
@@ -9,6 +9,8 @@
 use wigeon_core::Input;
 use wigeon_core::Outcome;
 use wigeon_core::Output;
+use wigeon_core::RateLimit;
+use wigeon_core::ServerNotice;
 use wigeon_core::message::Dispatch;
 use wire::Body;
 use wire::Frame;
@@ -220,3 +222,25 @@
     driver.advance(Duration::from_millis(700));
     assert!(!driver.instance.is_cut_off());
 }
+
+#[test]
+fn server_that_limits_its_requests_is_not_probed_because_it_was_not_reached() {
+    let mut driver = driver_with_peer(streaming_route());
+    let notice = ServerNotice {
+        limit: RateLimit::Stated(wire::limit::rate_from_hertz(3.0)),
+        ..ServerNotice::default()
+    };
+    for server in ["e1", "e2", "e3"] {
+        driver.input(Input::ServerNotice(server.into(), 1, driver.now, notice));
+    }
+    driver.advance(Duration::from_secs(2));
+    let dispatch = start(&mut driver, 1);
+    driver.outputs.clear();
+    driver.event(&dispatch, Event::Unreachable);
+    let is_probe = |output: &Output| {
+        let is_question = |body: &Body| matches!(body, Body::ProbeServer { .. });
+        matches!(output, Output::Probe { .. })
+            || matches!(output, Output::Send { body, .. } if is_question(body))
+    };
+    assert!(!driver.outputs.iter().any(is_probe));
+}
