--- a/review/1/case.py
+++ b/review/1/case.py
@@ -14,7 +14,7 @@
 WORK_S = 0.06
 DEADLINE_S = 3.0
 # Requests a second: one tenant's status board, and the other tenants.
-LOADS = [("lookup", "board", 110), ("lookup", "shop", 20), ("mark", "shop", 30)]
+LOADS = [("lookup", "board", 100), ("lookup", "shop", 15), ("mark", "shop", 60)]
 LENGTH_S = 85.0
 ZONE_DOWN_AT_S = 5.0
 ZONE_DOWN_S = 4.5
