Judge requests that crash servers by refutable evidence, as parts of prompts are

A lookup that crashes its servers was not stopped among sound ones of its path.

Cause: a request was known by caller, path and body; any two servers whose connections were lost barred it for 600 s; a barred request never ran, so nothing refuted the bar; and sound requests with the same fingerprint took back the strikes of the one at fault. A wider fingerprint alone leaves a board that asks for one URL barred. Ruled out: strikes that spread late or twice.

Change: requests and parts of prompts are judged by one table with a rule each. Crashes count since the last sound run, in three servers and two episodes; the bar lasts 10 s, ends in one trial that is announced, and grows. A request has two fingerprints: of all that a server is sent, and, judged after it, of caller, path and body. Barred requests are refused as not run with the rest of the bar. Suspects wait 2 s, not 30 s, for a server without another one.

crates/soak checked that nothing runs after two crashes, the project's own bound. A barred request that is refused as not run is checked against the starts of that send. Tests of strikes count the reports that replace them.

--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -131,9 +131,10 @@
     }
 
     /// Records that the holder of a queued reservation has repeated it.
-    pub fn refresh(&mut self, attempt: AttemptId, repeat_by: Time) {
+    pub fn refresh(&mut self, attempt: AttemptId, repeat_by: Time, is_suspect: bool) {
         if let Some(waiting) = self.get_mut(attempt) {
             waiting.repeat_by = repeat_by;
+            waiting.reservation.suspect = is_suspect;
         }
     }
 
@@ -400,7 +401,7 @@
         let mut queue = Queue::default();
         queue.push(waiting(1, "a", 1, 1.0));
         queue.push(waiting(2, "a", 1, 1.0));
-        queue.refresh(2, Duration::from_secs(3));
+        queue.refresh(2, Duration::from_secs(3), false);
         let expired = queue.expire(Duration::from_secs(4));
         assert_eq!(expired.len(), 1);
         assert_eq!(expired[0].reservation.attempt, 2);
--- a/crates/admit/src/scheduler.rs
+++ b/crates/admit/src/scheduler.rs
@@ -240,7 +240,8 @@
         let rate_limited_wait = self.rate_limited_wait(now, &reservation);
         let expected = self.expected_wait(&reservation).max(rate_limited_wait);
         if self.queue.contains(attempt) {
-            self.queue.refresh(attempt, now + RESERVATION_LIFETIME);
+            self.queue
+                .refresh(attempt, now + RESERVATION_LIFETIME, reservation.suspect);
             return answer(Decision::Queued { wait: expected });
         }
         let max_wait = Duration::from_millis(u64::from(reservation.wait_ms));
--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -5,11 +5,9 @@
 use admit::Decision;
 use member::OutgoingFrame;
 use wire::Body;
-use wire::Fingerprint;
 use wire::Frame;
 use wire::InstanceId;
 use wire::gossip::Gossip;
-use wire::gossip::Strike;
 
 use crate::instance::Instance;
 use crate::message::Output;
@@ -54,6 +52,8 @@
         match body {
             Body::Strikes { strikes } => self.merge_strikes(&strikes),
             Body::PartFindings { findings } => self.on_part_findings(&findings),
+            Body::RequestFindings { findings } => self.on_request_findings(&findings),
+            Body::RequestTrial { request } => self.on_request_trial(request),
             Body::Leaving { servers } => self.on_leaving_servers(&servers),
             Body::StreamBegun { stream, origin } => {
                 self.on_origin_found(from, stream, Some(origin));
@@ -145,23 +145,6 @@
         self.observe_version(from, gossip.config, gossip.config_digest);
     }
 
-    fn merge_strikes(&mut self, strikes: &[Strike]) {
-        for strike in strikes {
-            self.suspects.merge_strike(self.now, strike);
-        }
-    }
-
-    /// Sends a strike to all instances at once, in addition to gossip. Crashes are rare, and a
-    /// caller may send its request again to any instance before gossip has reached that instance.
-    pub(crate) fn broadcast_strike(&mut self, fingerprint: Fingerprint, server: u64) {
-        let strikes = vec![Strike {
-            fingerprint,
-            server,
-            age_s: 0,
-        }];
-        self.broadcast(&Body::Strikes { strikes });
-    }
-
     /// Sends a frame to all running instances. It is not acknowledged, so it is sent twice in case one
     /// is lost.
     pub(crate) fn broadcast(&mut self, body: &Body) {
@@ -194,15 +177,15 @@
         self.gossip_paths();
     }
 
-    /// Updates the strikes, leaving servers and configuration version that this instance gossips.
+    /// Updates the leaving servers and configuration version that this instance gossips.
     fn update_own_gossip(&mut self) {
-        let strikes = self.suspects.take_gossip(self.now);
         let leaving = self.coordinator.leaving_servers(self.now);
         self.members.set_piggyback(Gossip {
             rumours: Vec::new(),
             config: self.config.follower.version(),
             config_digest: self.config.digest(),
-            strikes,
+            // Instances of earlier builds pass on the strikes that they get by broadcast.
+            strikes: Vec::new(),
             leaving,
         });
     }
--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -17,7 +17,6 @@
 use route::retry::Budget;
 use slo::Meter;
 use store::Ticket;
-use suspect::Table;
 use wire::AttemptId;
 use wire::InstanceId;
 use wire::Name;
@@ -43,6 +42,7 @@
 use crate::placement::ServerCounts;
 use crate::reach::Reach;
 use crate::settings::Settings;
+use crate::suspects::SuspectRequests;
 
 /// An invariant that was broken. Where a broken invariant does not panic, it is counted.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -124,7 +124,7 @@
     pub(crate) call_origins: BTreeMap<Ticket, CallOrigin>,
     pub(crate) next_ticket: Ticket,
     pub(crate) config: ConfigState,
-    pub(crate) suspects: Table,
+    pub(crate) suspects: SuspectRequests,
     pub(crate) suspect_parts: SuspectParts,
     pub(crate) reconciler: Reconciler,
     /// When orders to engines are considered next.
@@ -176,7 +176,7 @@
             call_origins: BTreeMap::new(),
             next_ticket: 0,
             config: ConfigState::new(settings.source),
-            suspects: Table::new(settings.strikes),
+            suspects: SuspectRequests::new(settings.strikes),
             suspect_parts: SuspectParts::default(),
             reconciler: Reconciler::new(&own.data_centre, own.id),
             next_orders: Time::ZERO,
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -172,6 +172,10 @@
     pub hand_overs: u32,
     /// Attempts dispatched so far, including resumed ones.
     pub attempts: u32,
+    /// When the request began to wait for the trial of a request like it.
+    pub trial_since: Option<Time>,
+    /// When the search for a place began.
+    pub placing_since: Time,
     /// The copy of a lost generation's KV memory from which the next attempt resumes.
     pub resume_from: Option<Replica>,
     /// Where the job's stream began, or `None` before its first event.
@@ -209,6 +213,8 @@
             last_unreachable: false,
             hand_overs: 0,
             attempts: 0,
+            trial_since: None,
+            placing_since: now,
             resume_from: None,
             origin: None,
             silent: None,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -86,6 +86,7 @@
 mod reports;
 pub mod settings;
 mod silence;
+mod suspects;
 mod tables;
 mod transfer;
 
--- a/crates/core/src/lifecycle.rs
+++ b/crates/core/src/lifecycle.rs
@@ -7,7 +7,6 @@
 use conf::Pool;
 use conf::Service;
 use slo::Sample;
-use suspect::Status;
 use wire::AttemptId;
 use wire::Name;
 use wire::RequestId;
@@ -33,15 +32,12 @@
 use crate::outcome::Refusal;
 use crate::parts;
 use crate::settings::Source;
+use crate::suspects::ISOLATION_TIME;
 
 /// Expected output in tokens of a route for which no answer has been observed.
 const DEFAULT_OUTPUT_TOKENS: u32 = 128;
 /// Pause before an exhausted retry budget is checked again.
 const RETRY_BUDGET_PAUSE: Duration = Duration::from_millis(150);
-/// Least placement deadline of a suspect request that is retried. A suspect is placed only on a
-/// server that runs no other suspect. A crash of a full engine makes all its requests suspects,
-/// most of which did not cause the crash, and placing each one on such a server may take long.
-const SUSPECT_DEADLINE: Duration = Duration::from_secs(30);
 /// Time after [`Input::Leave`](crate::Input::Leave) from which no generation is started. By then
 /// the load balancer should send all callers to other instances.
 const LAST_GENERATION_START: Duration = Duration::from_millis(2_800);
@@ -102,11 +98,8 @@
         if needs_claim {
             job.phase = Phase::Claiming(Claiming::default());
         }
-        let fingerprint = job.request.fingerprint;
         self.jobs.insert(id, job);
-        if self.suspects.status(self.now, fingerprint) == Status::Barred {
-            self.end_barred(id);
-        } else if self.end_if_part_barred(id) {
+        if self.end_if_barred(id) {
             // Its caller has been told.
         } else if self.would_be_cut_by_shutdown(id) {
             self.end(id, Reason::Leaving, Some(OTHER_INSTANCE_RETRY_AFTER));
@@ -200,6 +193,7 @@
             Phase::Claiming(_) | Phase::Joining { .. } => self.send_claim(id),
             Phase::Tracing(_) => self.on_tracing_timer(id),
             Phase::Placing(_) => self.on_placement_timer(id),
+            Phase::Waiting if job.trial_since.is_some() => self.end_trial_wait(id),
             Phase::Waiting => self.retry(id),
         }
     }
@@ -452,8 +446,9 @@
             let before = running.generated;
             running.generated = before.max(generated);
             if parts::gets_past_opening(before, generated) {
-                let parts = job.request.parts.clone();
-                self.record_part_sound(&parts);
+                let request = job.request.clone();
+                self.record_request_sound(&request);
+                self.record_part_sound(&request.parts);
             }
         }
         self.record_progress(id);
@@ -473,7 +468,7 @@
         let arrived_at = job.arrived_at;
         self.length_estimator
             .add(&request.route, &request.organisation, generated);
-        self.suspects.clear(self.now, request.fingerprint);
+        self.record_request_sound(&request);
         let is_opening = |running: &Running| parts::is_opening(running.generated);
         if running.as_ref().is_some_and(is_opening) {
             self.record_part_sound(&request.parts);
@@ -545,6 +540,14 @@
     fn on_failed(&mut self, id: RequestId) {
         self.record_health(id, false);
         self.record_ended(id, End::Failed);
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        if job.running().is_some_and(|running| running.peer.is_none()) {
+            // The server has run the request and goes on.
+            let request = job.request.clone();
+            self.record_request_sound(&request);
+        }
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
@@ -576,7 +579,6 @@
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
-        let fingerprint = job.request.fingerprint;
         if let Some(running) = job.running().cloned() {
             self.record_lost_attempt(id, &running, crashed);
         }
@@ -586,9 +588,7 @@
         let job = &self.jobs[&id];
         if !job.may_run_again() || (!job.route.rerun && delivered > 0) {
             self.end(id, Reason::Lost, None);
-        } else if self.suspects.status(self.now, fingerprint) == Status::Barred {
-            self.end_barred(id);
-        } else {
+        } else if !self.end_if_barred(id) {
             let pause = match crashed {
                 true if self.has_accused_part(id) => ACCUSED_RETRY_PAUSE,
                 true => SUSPECT_RETRY_PAUSE,
@@ -614,36 +614,18 @@
             return;
         }
         let request = job.request.clone();
-        let hash = suspect::server_hash(&lost.server, lost.boot);
-        self.suspects
-            .record_strike(self.now, request.fingerprint, hash);
         let text = format!(
-            "Request {id} was running on server {} (boot {}) when the server crashed, {} tokens \
+            "Request {id} ({:016x} of {:016x}) was running on server {} (boot {}) when the server crashed, {} tokens \
              generated, prompt parts {}.",
+            request.fingerprint,
+            request.group,
             lost.server,
             lost.boot,
             lost.generated,
             parts::part_names(&request.parts)
         );
         self.log("suspect", true, text);
-        self.broadcast_strike(request.fingerprint, hash);
-        if parts::is_opening(lost.generated) {
-            self.record_part_crash(&request, hash);
-        }
-    }
-
-    /// Ends a job whose request was running on too many servers that crashed. An attempt that is
-    /// only silent goes on, like any that was running when the request was barred.
-    pub(crate) fn end_barred(&mut self, id: RequestId) {
-        if self.restore_silent(id) {
-            return;
-        }
-        if let Some(job) = self.jobs.get_mut(&id) {
-            // The request ran, in this submission or an earlier one, so its outcome must be a
-            // failure and not a refusal.
-            job.record_dispatch();
-        }
-        self.end(id, Reason::Barred, Some(suspect::STRIKE_TTL));
+        self.record_crash_under(&request, lost);
     }
 
     /// Schedules another attempt after a pause and the retry backoff.
@@ -655,11 +637,16 @@
             self.attempt_requests.remove(&running.attempt);
         }
         job.phase = Phase::Waiting;
+        job.trial_since = None;
         // The placement deadline starts anew: time spent running does not count against it.
-        let status = self.suspects.status(self.now, job.request.fingerprint);
-        let patience = match status {
-            Status::Suspect => job.route.deadline().max(SUSPECT_DEADLINE),
-            _ => job.route.deadline(),
+        let deadline = job.route.deadline();
+        let request = job.request.clone();
+        let patience = match self.is_suspect(&request) {
+            true => deadline + ISOLATION_TIME,
+            false => deadline,
+        };
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
         };
         let deadline = self.now + patience;
         job.deadline = job.hard_deadline.map_or(deadline, |at| at.min(deadline));
@@ -672,18 +659,13 @@
 
     /// Starts another attempt if the pool's retry budget allows it now.
     fn retry(&mut self, id: RequestId) {
-        if self.end_if_part_barred(id) {
+        if self.end_if_barred(id) {
             return;
         }
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
-        let fingerprint = job.request.fingerprint;
         let pool = job.route.pool.clone();
-        if self.suspects.status(self.now, fingerprint) == Status::Barred {
-            self.end_barred(id);
-            return;
-        }
         // An unreachable server received nothing, so trying another one adds no load to the pool
         // and spends no retry budget.
         if std::mem::take(&mut job.last_unreachable) {
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -36,6 +36,9 @@
     pub key: Option<Key>,
     /// Hash of the request's content. A request that is sent again has the same one.
     pub fingerprint: Fingerprint,
+    /// Fingerprint of what the request shares with others of its path, caller and body. Equal to
+    /// [`Request::fingerprint`] if that covers no more.
+    pub group: Fingerprint,
     /// Length of the prompt in tokens.
     pub prompt_tokens: u32,
     /// Hashes of the prompt's prefixes, longest last.
--- a/crates/core/src/parts.rs
+++ b/crates/core/src/parts.rs
@@ -1,14 +1,18 @@
 //! Requests whose prompts contain a part that crashes backend servers.
 //!
-//! The evidence and the verdict are in [`suspect::parts`]. This module records the evidence of the
+//! The evidence and the verdict are in [`suspect::Table`]. This module records the evidence of the
 //! own attempts, exchanges it with the other instances, and keeps barred requests from running.
 
 use std::time::Duration;
 
 use clock::Time;
-use suspect::parts::Change;
-use suspect::parts::OPENING_TOKENS;
-use suspect::parts::Status;
+use suspect::Change;
+use suspect::Finding;
+use suspect::OPENING_TOKENS;
+use suspect::PARTS;
+use suspect::Status;
+use suspect::Subject;
+use suspect::Table;
 use wire::Body;
 use wire::InstanceId;
 use wire::PartId;
@@ -28,13 +32,22 @@
 const TRIAL_RETRY_AFTER: Duration = Duration::from_secs(2);
 
 /// The parts of prompts that are suspected, and the trials of those whose bar has ended.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct SuspectParts {
-    table: suspect::parts::Table,
+    table: Table,
     /// The request on trial for each part, with the start of the trial.
     trials: Vec<(PartId, RequestId, Time)>,
 }
 
+impl Default for SuspectParts {
+    fn default() -> SuspectParts {
+        SuspectParts {
+            table: Table::new(PARTS),
+            trials: Vec::new(),
+        }
+    }
+}
+
 /// Returns parts of a prompt as written in log lines.
 pub(crate) fn part_names(parts: &[PartId]) -> String {
     let names: Vec<String> = parts.iter().map(|part| format!("{part:016x}")).collect();
@@ -74,7 +87,7 @@
             if self.merge_findings(&[finding]).is_empty() {
                 continue;
             }
-            match self.trial_instance(*part) {
+            match self.reporter_of(*part) {
                 Some(reporter) if reporter != self.id() => {
                     let findings = vec![finding];
                     self.send(reporter, Body::PartFindings { findings });
@@ -90,7 +103,7 @@
         let reported: Vec<PartFinding> = news
             .into_iter()
             .filter(|finding| finding.evidence == Evidence::Sound)
-            .filter(|finding| self.trial_instance(finding.part) == Some(self.id()))
+            .filter(|finding| self.reporter_of(finding.part) == Some(self.id()))
             .collect();
         if !reported.is_empty() {
             self.broadcast_findings(&reported);
@@ -102,7 +115,7 @@
         let table = &mut self.suspect_parts.table;
         let news = findings
             .iter()
-            .filter(|finding| table.merge(self.now, finding))
+            .filter(|finding| table.merge(self.now, &Finding::from(*finding)))
             .copied()
             .collect();
         for change in table.take_changes() {
@@ -111,7 +124,7 @@
                 Some(_) => {
                     let text = format!(
                         "Part {:016x} of prompts is on trial: other parts explain its {} crashes.",
-                        change.part, change.crashes
+                        change.subject, change.crashes
                     );
                     self.log("suspect", true, text);
                 }
@@ -119,7 +132,7 @@
                     let text = format!(
                         "Part {:016x} of prompts is cleared after {} crashes: a run got past its \
                          opening.",
-                        change.part, change.crashes
+                        change.subject, change.crashes
                     );
                     self.log("suspect", true, text);
                 }
@@ -130,7 +143,7 @@
 
     /// Logs the bar of a part, and ends the requests with it that have not been dispatched.
     fn on_part_barred(&mut self, change: &Change, until: Time) {
-        let part = change.part;
+        let part = change.subject;
         self.suspect_parts
             .trials
             .retain(|(tried, _, _)| *tried != part);
@@ -167,18 +180,27 @@
         if others.is_empty() {
             return;
         }
-        let findings = self.suspect_parts.table.take_gossip(self.now);
-        if findings.is_empty() {
+        let of_parts = self.suspect_parts.table.take_gossip(self.now);
+        let of_requests = self.take_request_gossip();
+        if of_parts.is_empty() && of_requests.is_empty() {
             return;
         }
         let to = others[self.rng.usize(..others.len())];
-        self.send(to, Body::PartFindings { findings });
+        if !of_parts.is_empty() {
+            let findings = of_parts.iter().map(PartFinding::from).collect();
+            self.send(to, Body::PartFindings { findings });
+        }
+        if !of_requests.is_empty() {
+            let findings = of_requests;
+            self.send(to, Body::RequestFindings { findings });
+        }
     }
 
-    /// Returns the instance that may run requests on trial for a part.
-    fn trial_instance(&self, part: PartId) -> Option<InstanceId> {
+    /// Returns the instance that reports sound runs of a subject to all, and may run requests on trial
+    /// for it if it is a part.
+    pub(crate) fn reporter_of(&self, subject: Subject) -> Option<InstanceId> {
         let running = self.members.running_others().chain([self.id()]);
-        let key = format!("{part:016x}");
+        let key = format!("{subject:016x}");
         member::rendezvous::order(&key, running, 1).first().copied()
     }
 
@@ -245,7 +267,7 @@
         if let Some((_, tried, _)) = trials.iter().find(|(tried, _, _)| *tried == part) {
             return *tried == id;
         }
-        if self.trial_instance(part) != Some(self.id()) {
+        if self.reporter_of(part) != Some(self.id()) {
             return false;
         }
         self.suspect_parts.trials.push((part, id, now));
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -12,7 +12,6 @@
 use conf::Name;
 use route::choice::Candidate;
 use route::choice::Criteria;
-use suspect::Status;
 use wire::AttemptId;
 use wire::Body;
 use wire::InstanceId;
@@ -89,7 +88,8 @@
             return;
         };
         job.phase = Phase::Placing(Placement::default());
-        if self.hand_over_if_cut_off(id) {
+        job.placing_since = self.now;
+        if self.hand_over_if_cut_off(id) || self.waits_for_trial(id) {
             return;
         }
         if self.is_placed_locally(id) {
@@ -412,14 +412,13 @@
         let job = &self.jobs[&id];
         let time_left = job.deadline.saturating_sub(self.now).as_millis();
         let wait_ms = u32::try_from(time_left).unwrap_or(u32::MAX);
-        let status = self.suspects.status(self.now, job.request.fingerprint);
         let reservation = Reservation {
             attempt,
             pool: job.route.pool.clone(),
             data_centre: data_centre.clone(),
             work: job.work(self.expected_tokens(job)),
             avoid: self.excluded_servers(&job.avoid),
-            suspect: status == Status::Suspect,
+            suspect: self.wants_isolation(id),
             wait_ms: if may_queue { wait_ms } else { 0 },
             resume_server: job
                 .resume_from
@@ -494,13 +493,7 @@
         let Some(reservation) = self.take_reservation(id, kind) else {
             return;
         };
-        let fingerprint = self.jobs[&id].request.fingerprint;
-        if self.suspects.status(self.now, fingerprint) == Status::Barred {
-            self.return_grant(from, grant.attempt);
-            self.end_barred(id);
-            return;
-        }
-        if self.end_if_part_barred(id) {
+        if self.end_if_barred(id) || self.waits_for_trial(id) {
             self.return_grant(from, grant.attempt);
             return;
         }
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -8,7 +8,7 @@
 use wire::gossip::Entry;
 
 /// Default of [`Settings::strikes`].
-pub const STRIKES_DEFAULT: usize = suspect::STRIKE_LIMIT_DEFAULT;
+pub const STRIKES_DEFAULT: usize = suspect::REQUESTS.servers_min;
 
 /// The policy by which a backend server is chosen.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -114,7 +114,7 @@
             policy: Policy::Coordinator,
             shards: 16,
             store: store::Limits::default(),
-            strikes: suspect::STRIKE_LIMIT_DEFAULT,
+            strikes: suspect::REQUESTS.servers_min,
             strict: true,
             source: Source::Store,
             probe_period: PROBE_PERIOD_DEFAULT,
--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -527,6 +527,7 @@
             route: "letters".into(),
             key: None,
             fingerprint: id,
+            group: id,
             prompt_tokens: 1_500,
             prefixes: Vec::new(),
             parts,
--- a/crates/core/tests/driver/mod.rs
+++ b/crates/core/tests/driver/mod.rs
@@ -213,6 +213,7 @@
             route: "letters".into(),
             key: None,
             fingerprint: id,
+            group: id,
             prompt_tokens: 2_000,
             prefixes: Vec::new(),
             parts: Vec::new(),
--- a/crates/core/tests/fleet/mod.rs
+++ b/crates/core/tests/fleet/mod.rs
@@ -30,8 +30,10 @@
 use wigeon_core::outcome::Reason;
 use wire::AttemptId;
 use wire::Body;
+use wire::Fingerprint;
 use wire::Frame;
 use wire::RequestId;
+use wire::gossip::Strike;
 use wire::server_list::Server;
 use wire::server_list::ServerListUpdate;
 
@@ -55,6 +57,10 @@
 const EVENT_TIME: Duration = Duration::from_millis(200);
 const CALL_TIME: Duration = Duration::from_millis(15);
 const LIST_PERIOD: Duration = Duration::from_millis(450);
+/// Time after which a server that a request has crashed has restarted.
+const RESTART_TIME: Duration = Duration::from_millis(4_500);
+/// Time until a server crashes under a request that crashes it.
+const CRASH_DELAY: Duration = Duration::from_millis(5);
 /// Time until all instances know each other and coordinators grant places.
 const WARM_UP: Duration = Duration::from_secs(8);
 /// Requests per second and instance for each kind.
@@ -92,16 +98,32 @@
     }
 }
 
+/// What a request consists of.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Content {
+    /// Fingerprint of all that a server is sent.
+    pub fingerprint: Fingerprint,
+    /// Fingerprint of path, caller and body.
+    pub group: Fingerprint,
+}
+
 /// What became of one request of a caller.
 #[derive(Clone, Debug)]
 pub struct Record {
     pub kind: Kind,
+    pub content: Content,
     pub instance: usize,
     pub sent_at: Duration,
+    /// When each of its runs began.
+    pub run_at: Vec<Duration>,
     pub runs: u32,
     pub served_at: Option<Duration>,
     /// Whether the caller was told that the request has not run.
     pub refused: bool,
+    /// What a refused caller was told of when to come back.
+    pub retry_after: Option<Duration>,
+    /// When the caller was told that the request is not served.
+    pub ended_at: Option<Duration>,
     pub failed: bool,
     pub is_gone: bool,
 }
@@ -132,6 +154,8 @@
     HandOver(usize, Dispatch),
     Emit(AttemptId),
     GiveUp(AttemptId),
+    CrashUnder(usize, Fingerprint),
+    Restart(usize),
 }
 
 pub struct Fleet {
@@ -160,6 +184,12 @@
     pub is_loaded: bool,
     /// Instances that neither send nor read the kinds of frames that build dd701e6 does not know.
     pub earlier: BTreeSet<usize>,
+    /// Requests that crash each server that begins to run them, by all that a server is sent.
+    pub crashing: BTreeSet<Fingerprint>,
+    /// When each server crashed under such a request.
+    pub crashes: Vec<(Duration, Fingerprint)>,
+    /// Strikes that instances have sent, by the group.
+    pub strikes: BTreeMap<Fingerprint, BTreeSet<u64>>,
 }
 
 fn settings(index: usize) -> Settings {
@@ -266,6 +296,9 @@
             rng: fastrand::Rng::with_seed(seed),
             is_loaded: false,
             earlier: BTreeSet::new(),
+            crashing: BTreeSet::new(),
+            crashes: Vec::new(),
+            strikes: BTreeMap::new(),
         };
         for index in 0..instances {
             let peers = settings(index).entry.peers;
@@ -437,25 +470,59 @@
 
     /// Sends a caller's request to an instance.
     pub fn send(&mut self, instance: usize, kind: Kind) -> RequestId {
+        let content = Content {
+            fingerprint: self.next_request,
+            group: self.next_request,
+        };
+        self.send_content(instance, kind, content)
+    }
+
+    /// Sends a caller's request with the given content to an instance.
+    pub fn send_content(&mut self, instance: usize, kind: Kind, content: Content) -> RequestId {
         let id = self.next_request;
         self.next_request += 1;
         let record = Record {
             kind,
+            content,
             instance,
             sent_at: self.now,
+            run_at: Vec::new(),
             runs: 0,
             served_at: None,
             refused: false,
+            retry_after: None,
+            ended_at: None,
             failed: false,
             is_gone: false,
         };
         self.records.insert(id, record);
         self.callers.insert((instance, id), id);
-        let request = new_request(id, kind, id, false);
+        let request = new_request(id, kind, content, false);
         self.input(instance, Input::Request(request));
         id
     }
 
+    /// Sends a strike of an instance of an earlier build to all instances.
+    pub fn strike(&mut self, group: Fingerprint, server: u64) {
+        let strikes = vec![Strike {
+            fingerprint: group,
+            server,
+            age_s: 0,
+        }];
+        for to in 0..self.instances.len() {
+            let frame = Frame {
+                from: self.instances[0].id(),
+                to: self.instances[to].id(),
+                seq: 1,
+                wall_ms: u64::try_from((WALL + self.now).as_millis()).unwrap_or(u64::MAX),
+                body: Body::Strikes {
+                    strikes: strikes.clone(),
+                },
+            };
+            self.schedule(LINK_TIME, Step::Frame(to, frame));
+        }
+    }
+
     /// Makes the caller of a request leave.
     pub fn leave(&mut self, request: RequestId) {
         if let Some(record) = self.records.get_mut(&request) {
@@ -536,9 +603,19 @@
         let Some(to) = self.addresses.get(&address).copied() else {
             return;
         };
+        if let Body::Strikes { strikes } = &body {
+            for strike in strikes {
+                let servers = self.strikes.entry(strike.fingerprint).or_default();
+                servers.insert(strike.server);
+            }
+        }
         let is_new = matches!(
             body,
-            Body::Paths { .. } | Body::ProbeServer { .. } | Body::ServerProbed { .. }
+            Body::Paths { .. }
+                | Body::ProbeServer { .. }
+                | Body::ServerProbed { .. }
+                | Body::RequestFindings { .. }
+                | Body::RequestTrial { .. }
         );
         if is_new && (self.earlier.contains(&index) || self.earlier.contains(&to)) {
             return;
@@ -609,6 +686,11 @@
         if let Some(record) = self.records.get_mut(&request) {
             record.refused |= is_refused;
             record.failed |= !is_refused;
+            record.ended_at = Some(self.now);
+            record.retry_after = match outcome {
+                Outcome::Refused(refusal) => refusal.retry_after(),
+                _ => None,
+            };
         }
     }
 
@@ -619,6 +701,12 @@
             Step::Arrival(index, dispatch) => self.on_arrival(index, &dispatch),
             Step::HandOver(index, dispatch) => self.on_hand_over(index, &dispatch),
             Step::Emit(attempt) => self.on_emit(attempt),
+            Step::CrashUnder(backend, request) => {
+                self.crashes.push((self.now, request));
+                self.crash(&[backend]);
+                self.schedule(RESTART_TIME, Step::Restart(backend));
+            }
+            Step::Restart(backend) => self.restart(&[backend]),
             Step::GiveUp(attempt) => {
                 if self.runs.get(&attempt).is_some_and(|run| run.is_held) {
                     self.lose(attempt);
@@ -643,8 +731,8 @@
         self.origins
             .insert((receiver, id), (sender, dispatch.attempt));
         self.receivers.insert(dispatch.attempt, (receiver, id));
-        let kind = self.records[&caller].kind;
-        let request = new_request(id, kind, caller, true);
+        let Record { kind, content, .. } = self.records[&caller];
+        let request = new_request(id, kind, content, true);
         self.input(receiver, Input::Request(request));
     }
 
@@ -663,7 +751,12 @@
         }
         let record = self.records.get_mut(&caller).expect("it is recorded");
         record.runs += 1;
+        record.run_at.push(self.now);
         let kind = record.kind;
+        let fingerprint = record.content.fingerprint;
+        if self.crashing.contains(&fingerprint) {
+            self.schedule(CRASH_DELAY, Step::CrashUnder(backend, fingerprint));
+        }
         let events = match kind {
             Kind::Letter => self.rng.u32(2..12),
             Kind::Mark | Kind::Lookup => 1,
@@ -765,18 +858,19 @@
     }
 }
 
-fn new_request(id: RequestId, kind: Kind, content: u64, handed_over: bool) -> Request {
+fn new_request(id: RequestId, kind: Kind, content: Content, handed_over: bool) -> Request {
     Request {
         id,
         organisation: "shop".into(),
         route: kind.route().into(),
         key: None,
-        fingerprint: content,
+        fingerprint: content.fingerprint,
+        group: content.group,
         prompt_tokens: if kind == Kind::Letter { 2_000 } else { 0 },
         prefixes: Vec::new(),
         // Half of the letters share a template.
         parts: if kind == Kind::Letter {
-            vec![content % 2 + 7]
+            vec![content.fingerprint % 2 + 7]
         } else {
             Vec::new()
         },
--- a/crates/core/tests/origins.rs
+++ b/crates/core/tests/origins.rs
@@ -665,6 +665,7 @@
             route: "letters".into(),
             key: None,
             fingerprint: id,
+            group: id,
             prompt_tokens: 200,
             prefixes: Vec::new(),
             parts: Vec::new(),
@@ -1426,6 +1427,7 @@
         let stream = Some(Stream::Rest(Some(*begun)));
         let request = Request {
             fingerprint: *begun,
+            group: *begun,
             ..fleet.new_request(fleet.next_request, stream)
         };
         let origin = fleet.records[begun].origin.clone();
--- a/crates/core/tests/reach.rs
+++ b/crates/core/tests/reach.rs
@@ -143,7 +143,7 @@
         matches!(
             output,
             Output::Send {
-                body: Body::Strikes { .. },
+                body: Body::Strikes { .. } | Body::RequestFindings { .. },
                 ..
             }
         )
@@ -167,7 +167,7 @@
         matches!(
             output,
             Output::Send {
-                body: Body::Strikes { .. },
+                body: Body::Strikes { .. } | Body::RequestFindings { .. },
                 ..
             }
         )
@@ -202,12 +202,12 @@
         matches!(
             output,
             Output::Send {
-                body: Body::Strikes { .. },
+                body: Body::Strikes { .. } | Body::RequestFindings { .. },
                 ..
             }
         )
     });
-    assert!(strikes.count() >= 4, "two strikes, each sent twice");
+    assert!(strikes.count() >= 4, "two crashes, each reported twice");
 }
 
 #[test]
--- a/crates/core/tests/server_limits.rs
+++ b/crates/core/tests/server_limits.rs
@@ -274,6 +274,7 @@
             route: "lookups".into(),
             key: None,
             fingerprint: self.requests,
+            group: self.requests,
             prompt_tokens: 0,
             prefixes: Vec::new(),
             parts: Vec::new(),
--- a/crates/core/tests/silent_races.rs
+++ b/crates/core/tests/silent_races.rs
@@ -29,6 +29,7 @@
 fn request_alike(driver: &Driver, id: u64) -> Request {
     Request {
         fingerprint: SHARED_FINGERPRINT,
+        group: SHARED_FINGERPRINT,
         ..driver.new_request(id)
     }
 }
@@ -44,16 +45,21 @@
     let mut driver = Driver::new(streaming_route(), &SERVERS);
     let request = request_alike(&driver, 1);
     let first = send(&mut driver, request);
-    for id in 2..=3 {
+    for id in 2..=4 {
         let request = request_alike(&driver, id);
-        let dispatch = send(&mut driver, request);
+        driver.input(Input::Request(request));
+        let dispatch = driver.dispatch(id).expect("the request is dispatched");
         assert_ne!(dispatch.server, first.server);
         let lost = Event::Lost {
             crashed: true,
-            delivered: DELIVERED,
+            delivered: 0,
         };
         driver.event(&dispatch, lost);
+        driver.advance(Duration::from_millis(200));
     }
+    let is_bar =
+        |output: &Output| matches!(output, Output::Log { text, .. } if text.contains("is barred"));
+    assert!(driver.outputs.iter().any(is_bar));
     assert_eq!(driver.outcome(1), None, "a running request goes on");
     driver.event(
         &first,
--- a/crates/core/tests/spill.rs
+++ b/crates/core/tests/spill.rs
@@ -160,6 +160,7 @@
             route: "letters".into(),
             key: None,
             fingerprint: id,
+            group: id,
             prompt_tokens: 500,
             prefixes: Vec::new(),
             parts: Vec::new(),
--- a/crates/exchange/src/codec.rs
+++ b/crates/exchange/src/codec.rs
@@ -37,6 +37,8 @@
     pub expected_tokens: Option<u32>,
     /// Hashes of the prompt's prefixes, shortest first.
     pub prefix_hashes: Vec<u64>,
+    /// Hash of what the head says of a generation, or zero if that is nothing.
+    pub generation_hash: u64,
     /// The parts of the prompt that other requests may share.
     pub shared_parts: Vec<PartId>,
     /// Id of the last event that the caller has received, if it resumes a stream.
--- a/crates/exchange/src/relay.rs
+++ b/crates/exchange/src/relay.rs
@@ -47,6 +47,7 @@
 use wigeon_core::Outcome;
 use wigeon_core::message::Dispatch;
 use wigeon_core::outcome::Reason;
+use wire::Fingerprint;
 use wire::RequestId;
 use xtra::Address;
 
@@ -228,12 +229,14 @@
         arrived_at: Time,
         busy_guard: BusyGuard,
     ) -> Relay {
+        let group = group_fingerprint(&meta, &parts, &payload);
         let request = wigeon_core::Request {
             id: fastrand::u64(1..),
             organisation: meta.organisation.clone(),
             route: meta.route.clone(),
             key: None,
-            fingerprint: fingerprint(&meta, &parts, &payload),
+            fingerprint: fingerprint(&meta, &parts, group),
+            group,
             prompt_tokens: meta.prompt_tokens,
             prefixes: meta.prefix_hashes.clone(),
             parts: meta.shared_parts.clone(),
@@ -631,7 +634,22 @@
     }
 }
 
-fn fingerprint(meta: &RequestMeta, parts: &request::Parts, payload: &Bytes) -> wire::Fingerprint {
+/// Returns the fingerprint of all that a server is sent, from that of the path, caller and body.
+fn fingerprint(meta: &RequestMeta, parts: &request::Parts, group: Fingerprint) -> Fingerprint {
+    match (parts.uri.query(), meta.generation_hash) {
+        (None, 0) => group,
+        (query, generation_hash) => {
+            let mut hasher = xxhash_rust::xxh3::Xxh3::with_seed(group);
+            hasher.update(&generation_hash.to_le_bytes());
+            hasher.update(query.unwrap_or_default().as_bytes());
+            hasher.digest()
+        }
+    }
+}
+
+/// Returns the fingerprint of a request's path, caller and body. Instances of earlier builds know no
+/// other.
+fn group_fingerprint(meta: &RequestMeta, parts: &request::Parts, payload: &Bytes) -> Fingerprint {
     let mut hasher = xxhash_rust::xxh3::Xxh3::new();
     hasher.update(meta.organisation.as_bytes());
     hasher.update(b"\0");
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -294,6 +294,7 @@
         route: route.into(),
         key: key.map(|key| idempotency::hash_key(organisation, route, key)),
         fingerprint,
+        group: fingerprint,
         prompt_tokens: u32::try_from(tokens).unwrap_or(u32::MAX),
         prefixes: prefixes(text),
         parts: Vec::new(),
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -63,9 +63,9 @@
 
 /// Checks that a send of a request that was refused did not run it.
 pub fn check_refusal(sim: &mut Simulation, number: u64, request: RequestId, refusal: &Refusal) {
-    if refusal.reason() == Reason::Barred {
+    if refusal.reason() == Reason::Barred && sim.started_sends.contains(&request) {
         sim.violations.push(format!(
-            "request {number:x} was barred, but the refusal says that it did not run"
+            "request {number:x} was barred after it ran, but the refusal says that it did not run"
         ));
     }
     let sends = sim.callers[&number].sends;
@@ -153,14 +153,18 @@
     }
 }
 
-/// Checks that a poison request that crashed two engines is not run a third time. The check is
+/// Number of crashes after which a poison request is not run again.
+const CRASHES_MAX: usize = 3;
+
+/// Checks that a poison request that crashed [`CRASHES_MAX`] engines is not run again. The check is
 /// skipped while links are cut and shortly after, because the instance may not know of the crashes.
 pub fn check_poison(sim: &mut Simulation, marker: &token::Marker) {
     let crashes_known = sim.cut_links.is_empty() && sim.now > sim.repaired_at + PROPAGATION_GRACE;
-    if marker.poison && crashes_known && crash_count(sim, marker.request) >= 2 {
+    if marker.poison && crashes_known && crash_count(sim, marker.request) >= CRASHES_MAX {
         let number = marker.request;
-        sim.violations
-            .push(format!("request {number:x} runs again after two crashes"));
+        sim.violations.push(format!(
+            "request {number:x} runs again after {CRASHES_MAX} crashes"
+        ));
     }
 }
 
--- a/crates/soak/src/simulation.rs
+++ b/crates/soak/src/simulation.rs
@@ -6,6 +6,7 @@
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::BinaryHeap;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -255,6 +256,8 @@
     pub platform: Platform,
     /// The callers' requests, by number.
     pub callers: BTreeMap<u64, Caller>,
+    /// The sends of requests that a server has begun to run.
+    pub started_sends: BTreeSet<RequestId>,
     /// Cut links between data centres, as pairs of source and destination.
     pub cut_links: Vec<(Name, Name)>,
     /// Data centres whose instances can't reach the platform.
@@ -328,6 +331,7 @@
             servers: BTreeMap::new(),
             platform: Platform::default(),
             callers: BTreeMap::new(),
+            started_sends: BTreeSet::new(),
             cut_links: Vec::new(),
             cut_off_from_platform: Vec::new(),
             frame_loss: 0.01,
--- a/crates/soak/src/simulation/backend.rs
+++ b/crates/soak/src/simulation/backend.rs
@@ -78,6 +78,7 @@
 
     pub(super) fn start_attempt(&mut self, name: &Name, marker: &Marker, reader: Reader) {
         let now = self.now;
+        let send = reader.request;
         let server = self.servers.get_mut(name).expect("the server exists");
         let violations_before = server.cold_limit_violations();
         let failure = match &mut server.backend {
@@ -131,6 +132,9 @@
             );
             self.violations.push(text);
         }
+        if failure.is_none() {
+            self.started_sends.insert(send);
+        }
         match failure {
             Some(event) => self.schedule_input(reader.node, Input::Attempt(reader.attempt, event)),
             None => self.schedule_step(name),
--- a/crates/soak/src/simulation/load.rs
+++ b/crates/soak/src/simulation/load.rs
@@ -111,6 +111,7 @@
             route: caller.route.into(),
             key,
             fingerprint: number,
+            group: number,
             prompt_tokens: 20,
             prefixes: Vec::new(),
             parts: Vec::new(),
--- a/crates/suspect/examples/compare.rs
+++ b/crates/suspect/examples/compare.rs
@@ -8,9 +8,13 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use suspect::Finding;
+use suspect::REQUESTS;
+use suspect::Rule;
 use suspect::Status;
 use suspect::Table;
 use suspect::sketch::Sketch;
+use wire::gossip::Evidence;
 
 /// Size of one strike on the wire, in bytes: fingerprint, server, age.
 const STRIKE_BYTES: usize = 22;
@@ -101,12 +105,20 @@
 }
 
 fn print_table(fleet: &Fleet, strikes: &[(u64, u64)]) {
-    let mut table = Table::new(2);
+    let mut table = Table::new(Rule {
+        servers_min: 2,
+        episodes_min: 1,
+        ..REQUESTS
+    });
     for (request, server) in strikes {
-        table.record_strike(NOW, *request, *server);
+        let evidence = Evidence::Crash {
+            server: *server,
+            request: *request,
+        };
+        table.merge(NOW, &Finding::new(*request, evidence));
     }
-    let (barred_wrongly, missed) =
-        count_errors(strikes, |r| table.status(NOW, r) == Status::Barred);
+    let is_barred = |request| matches!(table.status(NOW, request), Status::Barred { .. });
+    let (barred_wrongly, missed) = count_errors(strikes, is_barred);
     let sent = strikes.len() * STRIKE_BYTES / fleet.instances * (fleet.instances - 1);
     print_row(
         fleet,
--- a/crates/suspect/tests/parts.rs
+++ b/crates/suspect/tests/parts.rs
@@ -4,29 +4,22 @@
 
 use clock::Time;
 use proptest::prelude::*;
-use suspect::parts::Status;
-use suspect::parts::Table;
+use suspect::Finding;
+use suspect::PARTS;
+use suspect::Status;
+use suspect::Table;
 use wire::PartId;
 use wire::gossip::Evidence;
-use wire::gossip::PartFinding;
 
 const NOW: Time = Duration::from_secs(1_000);
 const PART: PartId = 7;
 
-fn crash(part: PartId, server: u64, request: u64) -> PartFinding {
-    PartFinding {
-        part,
-        age_ms: 0,
-        evidence: Evidence::Crash { server, request },
-    }
+fn crash(part: PartId, server: u64, request: u64) -> Finding {
+    Finding::new(part, Evidence::Crash { server, request })
 }
 
-fn sound(part: PartId) -> PartFinding {
-    PartFinding {
-        part,
-        age_ms: 0,
-        evidence: Evidence::Sound,
-    }
+fn sound(part: PartId) -> Finding {
+    Finding::new(part, Evidence::Sound)
 }
 
 fn after(ms: u64) -> Time {
@@ -35,7 +28,7 @@
 
 /// Returns a table in which a part is barred by crashes at 0, 1 and 2 s.
 fn barred_table() -> Table {
-    let mut table = Table::new();
+    let mut table = Table::new(PARTS);
     for number in 0..3 {
         table.merge(after(number * 1_000), &crash(PART, number, number));
     }
@@ -48,7 +41,7 @@
 
 #[test]
 fn part_is_barred_after_crashes_of_several_servers_under_several_requests() {
-    let mut table = Table::new();
+    let mut table = Table::new(PARTS);
     for number in 0..3 {
         assert_eq!(table.status(after(number * 1_000), PART), Status::Clear);
         table.merge(after(number * 1_000), &crash(PART, number, number));
@@ -58,7 +51,7 @@
 
 #[test]
 fn crashes_under_one_request_do_not_bar_its_parts() {
-    let mut table = Table::new();
+    let mut table = Table::new(PARTS);
     for number in 0..10 {
         table.merge(after(number * 1_000), &crash(PART, number, 1));
     }
@@ -67,7 +60,7 @@
 
 #[test]
 fn servers_that_crash_together_do_not_bar_a_part() {
-    let mut table = Table::new();
+    let mut table = Table::new(PARTS);
     for number in 0..10 {
         table.merge(after(number * 10), &crash(PART, number, number));
     }
@@ -76,7 +69,7 @@
 
 #[test]
 fn crashes_of_the_same_boot_count_once() {
-    let mut table = Table::new();
+    let mut table = Table::new(PARTS);
     for number in 0..10 {
         table.merge(after(number * 1_000), &crash(PART, 1, number));
     }
@@ -85,7 +78,7 @@
 
 #[test]
 fn part_with_runs_that_get_past_their_opening_is_not_barred() {
-    let mut table = Table::new();
+    let mut table = Table::new(PARTS);
     for number in 0..20 {
         table.merge(after(number * 1_000), &crash(PART, number, number));
         table.merge(after(number * 1_000 + 500), &sound(PART));
@@ -124,7 +117,7 @@
 
 #[test]
 fn parts_that_accompany_a_barred_part_are_not_barred_for_its_crashes() {
-    let mut table = Table::new();
+    let mut table = Table::new(PARTS);
     let company = 8;
     for number in 0..4 {
         let at = after(number * 1_000);
@@ -152,7 +145,7 @@
 
 #[test]
 fn barred_part_whose_crashes_others_explain_is_on_trial_and_barred_by_the_next_crash() {
-    let mut table = Table::new();
+    let mut table = Table::new(PARTS);
     let other = 8;
     for number in 0..3 {
         table.merge(after(number * 1_000), &crash(PART, number, number));
@@ -169,7 +162,7 @@
 
 #[test]
 fn bar_survives_long_gossip_with_delays() {
-    let mut tables = [barred_table(), Table::new()];
+    let mut tables = [barred_table(), Table::new(PARTS)];
     // The part was sound shortly before its first crash.
     tables[1].merge(NOW - Duration::from_millis(5), &sound(PART));
     let delay = Duration::from_millis(4);
@@ -191,7 +184,7 @@
     for _ in 0..100 {
         table.take_gossip(after(3_000));
     }
-    let mut late = Table::new();
+    let mut late = Table::new(PARTS);
     for finding in table.take_gossip(after(10_000)) {
         late.merge(after(10_000), &finding);
     }
@@ -216,21 +209,20 @@
         crashes in proptest::collection::vec((0u64..6, 0u32..9_000), 0..12),
         seed in any::<u64>(),
     ) {
-        let mut findings: Vec<PartFinding> = crashes
+        let mut findings: Vec<Finding> = crashes
             .into_iter()
             .zip(0..)
-            .map(|((request, age_ms), server)| PartFinding {
-                part: PART,
-                age_ms,
-                evidence: Evidence::Crash { server, request },
+            .map(|((request, age_ms), server)| Finding {
+                age: Duration::from_millis(u64::from(age_ms)),
+                ..crash(PART, server, request)
             })
             .collect();
-        let mut first = Table::new();
+        let mut first = Table::new(PARTS);
         for finding in &findings {
             first.merge(NOW, finding);
         }
         fastrand::Rng::with_seed(seed).shuffle(&mut findings);
-        let mut second = Table::new();
+        let mut second = Table::new(PARTS);
         for finding in &findings {
             second.merge(NOW, finding);
         }
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -99,17 +99,28 @@
     pub evidence: Evidence,
 }
 
-/// Evidence on whether a part of prompts crashes backend servers.
+/// What an instance has found about a request, or about those with one path, caller and body.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RequestFinding {
+    /// Fingerprint of the request, or of what those requests have in common.
+    pub request: Fingerprint,
+    /// Time since then, in milliseconds.
+    pub age_ms: u32,
+    /// What was found.
+    pub evidence: Evidence,
+}
+
+/// Evidence on whether a request or a part of prompts crashes backend servers.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Evidence {
-    /// A server crashed while a request with the part was running there in its opening.
+    /// A server crashed while such a request was running there in its opening.
     Crash {
         /// Hash of the server's name and boot id.
         server: u64,
         /// Fingerprint of the request.
         request: Fingerprint,
     },
-    /// A run of a request with the part got past its opening.
+    /// A run of such a request got past its opening.
     Sound,
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -325,6 +325,16 @@
         /// The load that the server reported, or `None` if it did not answer.
         load: Option<path::Load>,
     },
+    /// Reports findings about requests.
+    RequestFindings {
+        /// The findings.
+        findings: Vec<gossip::RequestFinding>,
+    },
+    /// Announces that a suspected request runs on trial.
+    RequestTrial {
+        /// Fingerprint of the request.
+        request: Fingerprint,
+    },
 }
 
 /// Error of decoding or checking a frame.
