Judge the origin of streams by lists as old as the calls that read them

What callers saw (a report of other operators, shown here by a test): an instance that had stood still, or whose reader of the list had, took up streams that began at a new version, and sent them to servers of the old one.

Cause: a stream without a record goes on if the list has shown one version all along, as of a reading after the request came. The time of a reading was that at which it was handled, so a list read before the streams began, and handled after the request, counted. Ruled out: lost records (they lead to this path alone) and placing by an old list.

Change: a list bears the time at which the call for it began; instances that get it from a reader ask that reader for a call begun since (new frames at the end, which earlier builds ignore; the stream is then refused as not run). Gaps between readings count at the store, and by the time of day, which goes on while a machine is suspended.

Evidence: list_that_was_held_up_does_not_tell_the_origin_of_a_stream fails with the time of handling (streams of v2 reach v1 at the reader and at its follower) and passes; tests of histories and of the watcher beside it.

--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -128,7 +128,13 @@
             Body::KeepCopy { attempt, endpoint } => self.on_keep_copy(attempt, endpoint),
             Body::CopyFailed { attempt, pool } => self.on_copy_failed(attempt, &pool),
             Body::FetchServerList => self.on_fetch_server_list(from),
-            Body::ServerList(list) => self.on_server_list(from, list),
+            Body::ServerList(list) => self.on_server_list(from, list, age),
+            Body::AwaitServerList { request } => self.on_await_server_list(from, request),
+            Body::ServerListRead {
+                request,
+                era,
+                revision,
+            } => self.on_list_read_elsewhere(request, (era, revision)),
             Body::Ping { .. }
             | Body::Ack { .. }
             | Body::PingRequest { .. }
--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -221,7 +221,8 @@
             }
             Input::Store(id, answer) => self.on_store_answer(id, answer),
             Input::List(listed) => self.on_list(listed),
-            Input::ServerList(list) => self.on_server_list_read(list),
+            Input::ServerList(list) => self.on_server_list_read(list, self.now),
+            Input::ServerListRead(list, asked_at) => self.on_server_list_read(list, asked_at),
             Input::AdoptConfig(config) => self.on_adopt_config(&config),
             Input::ConfigReadProgress => self.on_config_read_progress(),
             Input::Command(command) => self.on_command(command),
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -10,6 +10,8 @@
 use wire::admission::AVOID_MAX;
 use wire::admission::Work;
 use wire::origin::Origin;
+use wire::server_list::Era;
+use wire::server_list::Revision;
 
 use crate::message::Replica;
 use crate::message::Request;
@@ -52,6 +54,9 @@
     pub asked: Vec<InstanceId>,
     /// When the search began.
     pub started_at: Time,
+    /// Era and revision of the list of backend servers as another instance has read it since the
+    /// request arrived.
+    pub list: Option<(Era, Revision)>,
 }
 
 /// The search for a place on a server.
--- a/crates/core/src/listing.rs
+++ b/crates/core/src/listing.rs
@@ -24,6 +24,7 @@
 use wire::Body;
 use wire::BootId;
 use wire::InstanceId;
+use wire::RequestId;
 use wire::server_list::Era;
 use wire::server_list::Revision;
 use wire::server_list::ServerListUpdate;
@@ -49,6 +50,10 @@
 /// with each period. After that it grows by one, so that an outage does not make all instances call
 /// the store.
 const DOUBLING_POSITIONS: u32 = 8;
+/// Time for which a request of another instance waits for a reading of the list.
+const AWAITING_TIME: Duration = Duration::from_secs(1);
+/// Maximum number of requests of other instances that wait for a reading of the list.
+const AWAITING_MAX: usize = 1_024;
 /// Time for which the last frame of a reader is remembered.
 const FRAME_RETENTION: Duration = Duration::from_secs(30);
 
@@ -73,6 +78,10 @@
     frames: BTreeMap<InstanceId, Time>,
     /// The instance that read the list then.
     reader: InstanceId,
+    /// When the call began by which this instance last read the list itself.
+    asked_at: Option<Time>,
+    /// Requests of other instances that wait for a reading, and since when.
+    awaiting: Vec<(InstanceId, RequestId, Time)>,
     /// When each leaving server was first listed as leaving.
     leaving_since: BTreeMap<Name, Time>,
     /// The servers that were removed lately, with their boot and the time of their removal.
@@ -99,8 +108,18 @@
         self.leaving_since.get(server).copied()
     }
 
+    /// Returns when the call began by which this instance last read the list itself.
+    pub(crate) fn asked_at(&self) -> Option<Time> {
+        self.asked_at
+    }
+
+    /// Returns the instance that read the current list.
+    pub(crate) fn reader(&self) -> InstanceId {
+        self.reader
+    }
+
     /// Returns the era and the revision of the store as of which the list is current.
-    fn position(&self) -> (Era, Revision) {
+    pub(crate) fn position(&self) -> (Era, Revision) {
         (self.era, self.revision)
     }
 
@@ -216,12 +235,14 @@
         self.servers.values()
     }
 
-    /// Installs a list that this instance has read in the store, and sends the changes to the other
-    /// instances of its data centre.
-    pub(crate) fn on_server_list_read(&mut self, list: ServerListUpdate) {
+    /// Installs a list that this instance has read in the store by a call that began at a given time,
+    /// and sends the changes to the other instances of its data centre.
+    pub(crate) fn on_server_list_read(&mut self, list: ServerListUpdate, asked_at: Time) {
         if (list.era, list.revision) < self.list_state.position() {
             return;
         }
+        let known = self.list_state.asked_at;
+        self.list_state.asked_at = known.max(Some(asked_at));
         if self.has_server_list {
             self.list_state
                 .begin_grace(self.now, list.era, list.grace_ms);
@@ -273,11 +294,44 @@
         {
             self.install_servers(servers);
         }
-        self.record_listed_software();
+        self.record_listed_software(asked_at);
         if is_restored {
             self.distrust_removed_servers();
         }
         self.broadcast_list_changes(&update);
+        self.answer_awaiting(asked_at);
+    }
+
+    /// Answers the requests of other instances that wait for a reading by a call that began after
+    /// they were received.
+    fn answer_awaiting(&mut self, asked_at: Time) {
+        let (era, revision) = self.list_state.position();
+        let awaiting = std::mem::take(&mut self.list_state.awaiting);
+        for (to, request, received_at) in awaiting {
+            if received_at > asked_at {
+                self.list_state.awaiting.push((to, request, received_at));
+                continue;
+            }
+            let answer = Body::ServerListRead {
+                request,
+                era,
+                revision,
+            };
+            self.send(to, answer);
+        }
+    }
+
+    /// Handles the wish of another instance to be told when this one has read the list anew.
+    pub(crate) fn on_await_server_list(&mut self, from: InstanceId, request: RequestId) {
+        let now = self.now;
+        let awaiting = &mut self.list_state.awaiting;
+        awaiting.retain(|(_, _, received_at)| now.saturating_sub(*received_at) < AWAITING_TIME);
+        let is_known = awaiting
+            .iter()
+            .any(|(to, waiting, _)| (*to, *waiting) == (from, request));
+        if !is_known && awaiting.len() < AWAITING_MAX {
+            awaiting.push((from, request, now));
+        }
     }
 
     /// Adds the servers of the current list that a list read in the store lacks, if they may have
@@ -362,7 +416,15 @@
     }
 
     /// Applies the changes or the whole list that another instance has sent.
-    pub(crate) fn on_server_list(&mut self, from: InstanceId, update: ServerListUpdate) {
+    ///
+    /// `age` is the time for which the frame was on its way. The list may be older by the time that
+    /// its reader took.
+    pub(crate) fn on_server_list(
+        &mut self,
+        from: InstanceId,
+        update: ServerListUpdate,
+        age: Duration,
+    ) {
         self.observe_version(from, update.config_version, update.config_digest);
         let known_era = self.list_state.era;
         if (update.era, update.revision) < self.list_state.position() {
@@ -409,7 +471,7 @@
         if has_changes && (servers != self.servers || !self.has_server_list) {
             self.install_servers(servers);
         }
-        self.record_listed_software();
+        self.record_listed_software(self.now.saturating_sub(age));
         if is_restored {
             self.distrust_removed_servers();
         }
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -259,8 +259,11 @@
     Store(u64, store::Answer),
     /// The platform's list of instances, and of backend servers where they are listed with them.
     List(Vec<ListEntry>),
-    /// The complete list of backend servers, as read from the platform's store.
+    /// The complete list of backend servers, as read from the platform's store just now.
     ServerList(ServerListUpdate),
+    /// The same, and when the call began that read it. An answer may be old: the process may have
+    /// stood still, or the answer been held up on the way.
+    ServerListRead(ServerListUpdate, Time),
     /// A complete configuration, where it is kept outside the system.
     AdoptConfig(Arc<Config>),
     /// More bytes of a configuration that the shell reads have arrived.
--- a/crates/core/src/origins.rs
+++ b/crates/core/src/origins.rs
@@ -14,6 +14,7 @@
 use conf::Name;
 use conf::Route;
 use member::rendezvous;
+use origin::history::Reading;
 use origin::table::Outcome;
 use wire::Body;
 use wire::BootId;
@@ -21,6 +22,8 @@
 use wire::RequestId;
 use wire::StreamId;
 use wire::origin::Origin;
+use wire::server_list::Era;
+use wire::server_list::Revision;
 
 use crate::instance::Instance;
 use crate::job::Job;
@@ -40,7 +43,7 @@
 const ASK_PERIOD: Duration = Duration::from_millis(60);
 /// Time after which they are no longer waited for.
 const ASK_TIMEOUT: Duration = Duration::from_millis(250);
-/// Longest wait for a reading of the server list that is newer than the request. The list is read
+/// Longest wait for a reading of the server list that began after the request arrived. The list is read
 /// about twice per second.
 const LIST_TIMEOUT: Duration = Duration::from_millis(900);
 /// Period in which a new reading is looked for.
@@ -81,7 +84,11 @@
         let asked = stream.map_or(Vec::new(), |stream| self.probable_holders(stream));
         let started_at = self.now;
         if let Some(job) = self.jobs.get_mut(&id) {
-            job.phase = Phase::Tracing(Tracing { asked, started_at });
+            job.phase = Phase::Tracing(Tracing {
+                asked,
+                started_at,
+                list: None,
+            });
         }
         self.on_tracing_timer(id);
     }
@@ -128,15 +135,48 @@
             self.end_untraced(id);
             return;
         };
-        if history.observed_until().is_some_and(|at| at >= arrived_at) {
+        if self.has_read_list_since(id, arrived_at) {
             self.continue_stream(id, Origin { pool, software });
         } else if self.now < arrived_at + LIST_TIMEOUT {
+            self.await_list(id);
             self.set_timer(id, self.now + LIST_CHECK_PERIOD);
         } else {
             self.end_untraced(id);
         }
     }
 
+    /// Returns whether the current list was read by a call that began after a time. The time at which
+    /// a list is handled says nothing of that: it may have been queued while this process or its reader
+    /// stood still.
+    fn has_read_list_since(&self, id: RequestId, since: Time) -> bool {
+        if self.list_state.asked_at().is_some_and(|at| at >= since) {
+            return true;
+        }
+        let Some(Phase::Tracing(tracing)) = self.jobs.get(&id).map(|job| &job.phase) else {
+            return false;
+        };
+        tracing
+            .list
+            .is_some_and(|list| self.list_state.position() >= list)
+    }
+
+    /// Asks the instance that reads the list to tell when it has read it anew.
+    fn await_list(&mut self, id: RequestId) {
+        let reader = self.list_state.reader();
+        if reader != self.id() {
+            self.send(reader, Body::AwaitServerList { request: id });
+        }
+    }
+
+    /// Handles the answer of the instance that reads the list: it has read it since it was asked.
+    pub(crate) fn on_list_read_elsewhere(&mut self, id: RequestId, list: (Era, Revision)) {
+        let Some(Phase::Tracing(tracing)) = self.jobs.get_mut(&id).map(|job| &mut job.phase) else {
+            return;
+        };
+        tracing.list = tracing.list.max(Some(list));
+        self.trace_by_list(id);
+    }
+
     /// Returns the label of the servers that a route has led to since a time, if it was only one.
     fn only_label(&self, route: &str, since: Time) -> Option<&Name> {
         let (labels, led_there_since) = self.origins.route_labels.get(route)?;
@@ -317,11 +357,17 @@
         self.members.entry(id).map(|entry| &entry.data_centre)
     }
 
-    /// Records the software versions that the current list shows.
-    pub(crate) fn record_listed_software(&mut self) {
+    /// Records the software versions that the current list shows, which was read at a given time or
+    /// later.
+    pub(crate) fn record_listed_software(&mut self, read_at: Time) {
         let servers = self.servers.values();
         let versions = servers.map(|server| (&server.label, &server.software));
-        self.origins.history.record(self.now, versions);
+        let reading = Reading {
+            handled_at: self.now,
+            read_at,
+            wall: self.wall,
+        };
+        self.origins.history.record(reading, versions);
     }
 
     /// Returns the version of a server's software, or an empty text if it is not known for the given
--- a/crates/core/tests/fleet/mod.rs
+++ b/crates/core/tests/fleet/mod.rs
@@ -616,6 +616,8 @@
                 | Body::ServerProbed { .. }
                 | Body::RequestFindings { .. }
                 | Body::RequestTrial { .. }
+                | Body::AwaitServerList { .. }
+                | Body::ServerListRead { .. }
         );
         if is_new && (self.earlier.contains(&index) || self.earlier.contains(&to)) {
             return;
--- a/crates/core/tests/origins.rs
+++ b/crates/core/tests/origins.rs
@@ -580,16 +580,21 @@
     fn send_lists(&mut self, to_all: bool) {
         for index in 0..self.instances.len() {
             if to_all || self.instances[index].should_read_server_list() {
-                let list = ServerListUpdate {
-                    revision: u64::try_from(self.now.as_millis()).unwrap_or(u64::MAX),
-                    servers: self.listed.clone(),
-                    ..ServerListUpdate::default()
-                };
+                let list = self.current_list();
                 self.input(index, Input::ServerList(list));
             }
         }
     }
 
+    /// Returns the platform's list as it is now.
+    fn current_list(&self) -> ServerListUpdate {
+        ServerListUpdate {
+            revision: u64::try_from(self.now.as_millis()).unwrap_or(u64::MAX),
+            servers: self.listed.clone(),
+            ..ServerListUpdate::default()
+        }
+    }
+
     fn advance(&mut self, time: Duration) {
         self.advance_by(STEP, time);
     }
@@ -1001,7 +1006,11 @@
 /// Returns a fleet whose list has shown the same versions for longer than twice the timeout of the
 /// route and the age of an old list.
 fn long_listed_fleet(versions: &[&str]) -> Fleet {
-    let mut fleet = Fleet::new(3, engines("engines", versions), 1);
+    long_listed_fleet_of(3, versions)
+}
+
+fn long_listed_fleet_of(instances: usize, versions: &[&str]) -> Fleet {
+    let mut fleet = Fleet::new(instances, engines("engines", versions), 1);
     let time = Duration::from_millis(TIMEOUT_MS) * 2 + LIST_AGE + Duration::from_secs(1);
     fleet.advance_by(Duration::from_millis(50), time);
     fleet
@@ -1636,3 +1645,84 @@
         check_refused_after_restart(&mut fleet, &streams);
     }
 }
+
+/// Servers of a second version join while the data centre of instance 0 is cut off from the others and
+/// its list is held up, and streams begin on them elsewhere. Returns the instance of that data centre
+/// that reads the list, and the streams, which have been lost.
+fn begin_beyond_a_held_up_list(fleet: &mut Fleet) -> Vec<RequestId> {
+    let mut joined = engines("joined", &["v2"]);
+    for engine in &mut joined {
+        engine.server.label = "engines".into();
+    }
+    fleet.engines.extend(joined);
+    fleet.publish();
+    fleet.cut_off = Some(DATA_CENTRES[0]);
+    let count = fleet.instances.len();
+    for index in (0..count).filter(|index| index % 3 != 0) {
+        let list = fleet.current_list();
+        fleet.input(index, Input::ServerList(list));
+    }
+    fleet.is_held = true;
+    let streams: Vec<RequestId> = (0..12).map(|number| fleet.begin(1 + number % 2)).collect();
+    fleet.advance(Duration::from_millis(150));
+    fleet.send_first_events();
+    for stream in &streams {
+        fleet.lose(*stream, false);
+    }
+    fleet.is_held = false;
+    let is_of_second = |id: &RequestId| {
+        let origin = &fleet.records[id].origin;
+        origin.as_ref().is_some_and(|(_, version)| version == "v2")
+    };
+    let streams: Vec<RequestId> = streams.into_iter().filter(is_of_second).collect();
+    assert!(!streams.is_empty(), "streams began at the second version");
+    streams
+}
+
+/// Guards against a list that was read before a stream began and is handled after its request came,
+/// since the process or its connection to the store stood still: one version was listed all along.
+#[test]
+fn list_that_was_held_up_does_not_tell_the_origin_of_a_stream() {
+    for held_up_ms in [500, 1_000, 2_000, 2_900, 3_500] {
+        for instances in [3, 6] {
+            let mut fleet = long_listed_fleet_of(instances, &["v1", "v1"]);
+            fleet.is_list_read = false;
+            let asked_at = fleet.now;
+            let held_up = fleet.current_list();
+            let readers: Vec<usize> = (0..instances)
+                .filter(|index| index % 3 == 0)
+                .filter(|index| fleet.instances[*index].should_read_server_list())
+                .collect();
+            let streams = begin_beyond_a_held_up_list(&mut fleet);
+            fleet.advance((asked_at + Duration::from_millis(held_up_ms)).saturating_sub(fleet.now));
+            let first = fleet.next_request;
+            for stream in &streams {
+                for index in (0..instances).filter(|index| index % 3 == 0) {
+                    fleet.take_up(index, *stream);
+                    fleet.take_up_unnamed(index, *stream);
+                }
+            }
+            for reader in readers {
+                let list = Input::ServerListRead(held_up.clone(), asked_at);
+                fleet.input(reader, list);
+            }
+            fleet.advance(Duration::from_secs(2));
+            fleet.assert_no_strays();
+            for record in fleet.records.range(first..).map(|(_, record)| record) {
+                assert_eq!(record.refused_because(), Some(Reason::UnknownOrigin));
+            }
+        }
+    }
+}
+
+/// An instance that does not read the list itself asks the one that does.
+#[test]
+fn unknown_stream_goes_on_at_a_follower_once_the_list_is_read_anew() {
+    let mut fleet = long_listed_fleet_of(6, &["v1", "v1"]);
+    let ids: Vec<RequestId> = (0..6)
+        .map(|index| fleet.request(index, None, Stream::Rest(None)))
+        .collect();
+    fleet.advance(Duration::from_secs(2));
+    let served = fleet.dispatched_within(&ids, Duration::from_secs(1));
+    assert_eq!(served, 6, "{}", fleet.summary(&ids));
+}
--- a/crates/origin/src/history.rs
+++ b/crates/origin/src/history.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use clock::Time;
+use clock::WallTime;
 use wire::Name;
 
 use crate::table::RETENTION;
@@ -23,11 +24,24 @@
     observed: Option<Span>,
 }
 
+/// A reading of the list of backend servers.
+#[derive(Clone, Copy, Debug)]
+pub struct Reading {
+    /// When the reading was handled.
+    pub handled_at: Time,
+    /// Time at or after which the list was as read. A reading that was queued while the process or its
+    /// sender stood still shows an old state.
+    pub read_at: Time,
+    /// Time of day when the reading was handled. It goes on while the machine is suspended.
+    pub wall: WallTime,
+}
+
 /// The time of the first and of the last of the readings without a gap among them.
 #[derive(Clone, Copy, Debug)]
 struct Span {
     from: Time,
     until: Time,
+    wall: WallTime,
 }
 
 #[derive(Debug)]
@@ -45,8 +59,13 @@
 
     /// Records a reading of the list of backend servers: the label and the software version of each
     /// server. An empty version is an unknown one.
-    pub fn record<'a>(&mut self, now: Time, servers: impl Iterator<Item = (&'a Name, &'a Name)>) {
-        self.extend_span(now);
+    pub fn record<'a>(
+        &mut self,
+        reading: Reading,
+        servers: impl Iterator<Item = (&'a Name, &'a Name)>,
+    ) {
+        self.extend_span(reading);
+        let now = reading.handled_at;
         for (label, software) in servers {
             self.record_listed(now, label, software);
         }
@@ -81,12 +100,24 @@
         self.observed.map(|span| span.until)
     }
 
-    fn extend_span(&mut self, now: Time) {
-        let from = self
-            .observed
-            .filter(|span| now.saturating_sub(span.until) <= GAP_MAX)
-            .map_or(now, |span| span.from);
-        self.observed = Some(Span { from, until: now });
+    fn extend_span(&mut self, reading: Reading) {
+        let Reading { read_at, wall, .. } = reading;
+        let has_gap = |span: &Span| {
+            let gap = read_at.saturating_sub(span.until);
+            gap.max(wall.saturating_sub(span.wall)) > GAP_MAX
+        };
+        self.observed = match self.observed.filter(|span| !has_gap(span)) {
+            Some(span) => Some(Span {
+                from: span.from,
+                until: span.until.max(read_at),
+                wall,
+            }),
+            None => Some(Span {
+                from: read_at,
+                until: read_at,
+                wall,
+            }),
+        };
     }
 
     fn record_listed(&mut self, now: Time, label: &Name, software: &Name) {
--- a/crates/origin/tests/history.rs
+++ b/crates/origin/tests/history.rs
@@ -6,6 +6,7 @@
 use clock::Time;
 use origin::history::GAP_MAX;
 use origin::history::History;
+use origin::history::Reading;
 use origin::table::RETENTION;
 use proptest::prelude::*;
 use wire::Name;
@@ -27,7 +28,19 @@
 
 fn record(history: &mut History, now: Time, label: &Name, versions: &[&str]) {
     let versions: Vec<Name> = versions.iter().map(|version| Name::new(version)).collect();
-    history.record(now, versions.iter().map(|version| (label, version)));
+    history.record(
+        reading(now),
+        versions.iter().map(|version| (label, version)),
+    );
+}
+
+/// Returns a reading that was handled at once.
+fn reading(now: Time) -> Reading {
+    Reading {
+        handled_at: now,
+        read_at: now,
+        wall: now,
+    }
 }
 
 fn only_chat(history: &History, since: u64) -> Option<&str> {
@@ -136,7 +149,7 @@
     let servers = servers.map(|(label, software)| (Name::new(label), Name::new(software)));
     for number in 0..3 {
         history.record(
-            at(number),
+            reading(at(number)),
             servers.iter().map(|(label, software)| (label, software)),
         );
     }
@@ -228,3 +241,41 @@
         _ => None,
     }
 }
+
+/// Guards against an old state that counts as a new reading because it was handled late.
+#[test]
+fn reading_that_was_queued_does_not_bridge_a_gap() {
+    let mut history = History::new();
+    record_chat(&mut history, 0..=3, &["v1"]);
+    let servers = [(CHAT, Name::new("v1"))];
+    let queued = Reading {
+        read_at: at(3),
+        ..reading(at(5))
+    };
+    history.record(
+        queued,
+        servers.iter().map(|(label, software)| (label, software)),
+    );
+    assert_eq!(history.observed_until(), Some(at(3)));
+    record_chat(&mut history, 7..=8, &["v1"]);
+    assert_eq!(only_chat(&history, 3), None);
+    assert_eq!(only_chat(&history, 7), Some("v1"));
+}
+
+/// Guards against versions that come and go while the machine is suspended and its clock stands still.
+#[test]
+fn suspension_ends_the_span() {
+    let mut history = History::new();
+    record_chat(&mut history, 0..=3, &["v1"]);
+    let servers = [(CHAT, Name::new("v1"))];
+    let resumed = Reading {
+        wall: at(3) + GAP_MAX * 2,
+        ..reading(at(4))
+    };
+    history.record(
+        resumed,
+        servers.iter().map(|(label, software)| (label, software)),
+    );
+    assert_eq!(only_chat(&history, 3), None);
+    assert_eq!(only_chat(&history, 4), Some("v1"));
+}
--- a/crates/watch/src/lib.rs
+++ b/crates/watch/src/lib.rs
@@ -210,6 +210,8 @@
     changed_at: Revision,
     next_call: Time,
     call_in_flight: bool,
+    /// When the call began that the items are current as of, or the first call of the present list.
+    asked_at: Time,
     failures: u32,
     failing_since: Option<Time>,
     unavailable: bool,
@@ -257,6 +259,7 @@
             changed_at: 0,
             next_call: Time::ZERO,
             call_in_flight: false,
+            asked_at: Time::ZERO,
             failures: 0,
             failing_since: None,
             unavailable: false,
@@ -340,6 +343,13 @@
             return None;
         }
         self.call_in_flight = true;
+        let is_first_of_list = |state: &State<T>| match state {
+            State::Listing { after, .. } => after.is_empty(),
+            State::Watching => true,
+        };
+        if is_first_of_list(&self.state) {
+            self.asked_at = now;
+        }
         Some(match &self.state {
             State::Listing { after, .. } => Call::Page {
                 after: after.clone(),
@@ -350,6 +360,12 @@
         })
     }
 
+    /// Returns a time at or after which the store had the items of the last answer that confirmed them:
+    /// when the call for them began. An answer may arrive, or be handled, long after that.
+    pub fn asked_at(&self) -> Time {
+        self.asked_at
+    }
+
     /// Returns when the next call or the next removal of expired items is due.
     pub fn next_wake(&self) -> Option<Time> {
         let call = (!self.call_in_flight).then_some(self.next_call);
--- a/crates/watch/tests/watcher.rs
+++ b/crates/watch/tests/watcher.rs
@@ -256,3 +256,28 @@
     );
     assert!(backoffs.iter().all(|backoff| *backoff <= SECOND));
 }
+
+/// Guards against an answer that counts as new because it was handled late.
+#[test]
+fn items_are_as_old_as_the_call_for_them() {
+    let mut store = Store::default();
+    for key in ["a", "b", "c"] {
+        store.write(key, 1);
+    }
+    let mut watcher: Watcher<u32> = Watcher::new(Limits::default(), 1);
+    let mut now = SECOND;
+    let mut asked_at = Vec::new();
+    for _ in 0..3 {
+        now = now.max(watcher.next_wake().unwrap_or_default());
+        asked_at.push(now);
+        let call = watcher.due(now).expect("a call is due");
+        now += SECOND;
+        let update = watcher.answer(now, store.call(&call));
+        if update.confirmed {
+            // A list is as old as its first page.
+            let oldest = if asked_at.len() == 2 { 0 } else { 2 };
+            assert_eq!(watcher.asked_at(), asked_at[oldest]);
+        }
+    }
+    assert_eq!(watcher.asked_at(), asked_at[2]);
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -335,6 +335,21 @@
         /// Fingerprint of the request.
         request: Fingerprint,
     },
+    /// Asks the receiver, which reads the list of backend servers, to answer as soon as it has read
+    /// the list by a call that began after it received this frame.
+    AwaitServerList {
+        /// The sender's request that waits.
+        request: RequestId,
+    },
+    /// Answers a [`Body::AwaitServerList`].
+    ServerListRead {
+        /// The receiver's request that waits.
+        request: RequestId,
+        /// Era of the store in which the list was read.
+        era: server_list::Era,
+        /// Revision of the list.
+        revision: server_list::Revision,
+    },
 }
 
 /// Error of decoding or checking a frame.
