Continue streams only by events that prove to continue them

What callers saw (a report of other operators, shown here by a test): a stream had begun and broke off; the text of what the next server sent came in the middle of it, at times with a whole head, and the stream ended as if it were complete.

Cause: a response that continues a stream was accepted by its status alone, its events were passed on whatever they were, and its end was that of the stream whatever it had brought. Ruled out: answers with another status, of another request or without the server's stamp.

Change: another media type than text/event-stream is no stream of events (a new request gets such a response whole); events without an id wait for a new one with an id; a continued stream is complete only after a new event; with ids of one step a gap is noticed. A server that answered so has not crashed.

--- a/crates/exchange/src/relay.rs
+++ b/crates/exchange/src/relay.rs
@@ -217,6 +217,43 @@
     last_event_at: Option<Time>,
     /// Longest time between two events.
     longest_gap: Duration,
+    /// Difference between the ids of successive events.
+    id_step: IdStep,
+}
+
+/// Difference between the ids of successive events of a stream.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum IdStep {
+    /// No two ids are known.
+    #[default]
+    Unknown,
+    /// It is always the same.
+    Constant(u64),
+    /// It varies, so that events that are missing can't be told.
+    Varying,
+}
+
+impl Progress {
+    /// Records the id of a new event.
+    fn record_id(&mut self, id: Option<u64>) {
+        let Some(id) = id else { return };
+        // The ids of a stream count from zero.
+        let step = id.saturating_sub(self.last_event_id.unwrap_or(0));
+        self.id_step = match self.id_step {
+            IdStep::Unknown if step > 0 => IdStep::Constant(step),
+            IdStep::Constant(known) if known != step => IdStep::Varying,
+            known => known,
+        };
+        self.last_event_id = Some(id);
+    }
+
+    /// Returns the id of the next event, if it can be told.
+    fn next_id(&self) -> Option<u64> {
+        match (self.id_step, self.last_event_id) {
+            (IdStep::Constant(step), Some(last)) => Some(last + step),
+            _ => None,
+        }
+    }
 }
 
 impl Relay {
@@ -421,13 +458,14 @@
                 ResponseKind::NoRoom(retry_after) => AttemptResult::NoRoom(retry_after),
                 ResponseKind::Unrelated => AttemptResult::Lost,
                 ResponseKind::ServerError => read_response(head, body, guard, true).await,
-                ResponseKind::Response if expects_events && parts.status == StatusCode::OK => {
+                ResponseKind::Response if expects_events && head.may_hold_events() => {
                     if is_resumed {
                         let stream = ResponseStream::new(body, guard, true);
                         return AttemptResult::EventStream(head, stream);
                     }
                     await_first_event(head, body, guard).await
                 }
+                ResponseKind::Response if is_resumed => AttemptResult::NoStream,
                 ResponseKind::Response => read_response(head, body, guard, false).await,
             }
         }
@@ -468,16 +506,18 @@
                 self.server_error = Some((head, bytes));
                 (Event::Failed, "failed")
             }
-            _ => (self.lost_event(), "broken"),
+            AttemptResult::NoStream => (self.lost_event(false), "no-stream"),
+            _ => (self.lost_event(true), "broken"),
         };
         self.log_failed_attempt(dispatch, result);
         self.send_event(dispatch, event).await;
     }
 
-    /// Returns the event for an attempt whose connection or stream was lost.
-    fn lost_event(&self) -> Event {
+    /// Returns the event for an attempt whose connection or stream was lost. `crashed` tells whether
+    /// its server may have crashed. One that has sent what can't be used goes on.
+    fn lost_event(&self, crashed: bool) -> Event {
         Event::Lost {
-            crashed: true,
+            crashed,
             delivered: self.tokens_sent(),
         }
     }
--- a/crates/exchange/src/relay/response.rs
+++ b/crates/exchange/src/relay/response.rs
@@ -6,6 +6,7 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::header::CONTENT_LENGTH;
+use hyper::header::CONTENT_TYPE;
 use hyper::header::TRANSFER_ENCODING;
 use hyper::http::response;
 use std::time::Duration;
@@ -22,6 +23,9 @@
 /// truncated.
 const BUFFERED_BYTES_MAX: usize = 64 * 1_024;
 
+/// Media type of a stream of events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// The status and end-to-end header fields of a server's response.
 pub(super) struct ResponseHead {
     pub(super) status: StatusCode,
@@ -41,6 +45,17 @@
         }
     }
 
+    /// Returns whether the response may be a stream of events: it succeeds, and it does not name another
+    /// media type.
+    pub(super) fn may_hold_events(&self) -> bool {
+        let media = self.headers.get(CONTENT_TYPE);
+        let is_event_stream = media.is_none_or(|media| {
+            let essence = media.as_bytes().split(|byte| *byte == b';').next();
+            essence.is_some_and(|essence| essence.trim_ascii().eq_ignore_ascii_case(EVENT_STREAM))
+        });
+        self.status == StatusCode::OK && is_event_stream
+    }
+
     pub(super) fn into_response(mut self, body: ResponseBody) -> Response<ResponseBody> {
         // Hyper writes the length of the body that is sent.
         self.headers.remove(CONTENT_LENGTH);
@@ -62,6 +77,8 @@
     /// The connection was lost, or the response belongs to another request. The request may have
     /// run.
     Lost,
+    /// A response that can't continue the stream that the caller has received the beginning of.
+    NoStream,
     /// A complete error response of the server.
     ServerError(ResponseHead, Bytes),
     /// A complete response.
--- a/crates/exchange/src/relay/streaming.rs
+++ b/crates/exchange/src/relay/streaming.rs
@@ -58,6 +58,16 @@
     silence: Option<u32>,
     /// Whether no event of the attempt has arrived.
     awaits_event: bool,
+    /// The attempt's part in a stream that another one has begun.
+    continuation: Option<Continuation>,
+}
+
+/// Events of an attempt that continues a stream, until one of them proves that it does.
+#[derive(Default)]
+struct Continuation {
+    /// Events without an id, which are forwarded with the first new one. A response that is no stream
+    /// of events may look like these.
+    held: Vec<Bytes>,
 }
 
 /// An attempt to resume a stream whose server has not begun to answer.
@@ -88,6 +98,7 @@
             silences: 0,
             silence: None,
             awaits_event: true,
+            continuation: None,
         }
     }
 
@@ -133,6 +144,7 @@
         *self = Forwarding {
             queue: std::mem::take(&mut self.queue),
             silences: self.silences,
+            continuation: Some(Continuation::default()),
             ..Forwarding::new(dispatch, stream)
         };
     }
@@ -203,7 +215,7 @@
                     }
                 }
                 Some(Err(_)) => {
-                    let event = self.lost_event();
+                    let event = self.lost_event(true);
                     self.send_event(&dispatch, event).await;
                     let _ = caller.send(Err(Truncated)).await;
                     self.finish("failed", "lost", StatusCode::OK);
@@ -321,6 +333,12 @@
     async fn on_item(&mut self, forwarding: &mut Forwarding, item: StreamItem) -> Step {
         match item {
             StreamItem::Event(event) => self.on_event(forwarding, event).await,
+            // Nothing tells whether the stream was complete before.
+            StreamItem::End if forwarding.continuation.is_some() => {
+                forwarding.close_stream();
+                self.lose_stream(&forwarding.dispatch, "no-new-event", false)
+                    .await;
+            }
             StreamItem::End => {
                 let event = self.completion_event();
                 self.send_event(&forwarding.dispatch, event).await;
@@ -330,7 +348,7 @@
                 // Closes the connection before the report, so that the server has stopped the
                 // generation when the decider orders the next attempt.
                 forwarding.close_stream();
-                self.lose_stream(&forwarding.dispatch, "broken").await;
+                self.lose_stream(&forwarding.dispatch, "broken", true).await;
             }
             StreamItem::Silent => {
                 let silence = forwarding.record_silence();
@@ -350,6 +368,24 @@
         }
         let size = event.bytes.len();
         let has_id = event.id.is_some();
+        if self.skips_events(&event) {
+            forwarding.close_stream();
+            self.lose_stream(&forwarding.dispatch, "gap", false).await;
+            return;
+        }
+        if let Some(continuation) = &mut forwarding.continuation {
+            if !has_id {
+                continuation.held.push(event.bytes);
+                forwarding.repeated_bytes += size;
+                self.end_if_repeating(forwarding).await;
+                return;
+            }
+            if self.is_new(&event)
+                && let Some(continuation) = forwarding.continuation.take()
+            {
+                forwarding.queue.extend(continuation.held);
+            }
+        }
         match self.accept_event(event) {
             Some(bytes) => {
                 forwarding.queue.push_back(bytes);
@@ -363,9 +399,15 @@
         if forwarding.silence.is_none() {
             self.report_progress(&forwarding.dispatch).await;
         }
+        self.end_if_repeating(forwarding).await;
+    }
+
+    /// Gives up an attempt that has sent too much without a new event.
+    async fn end_if_repeating(&mut self, forwarding: &mut Forwarding) {
         if forwarding.repeated_bytes > REPEATED_BYTES_MAX {
             forwarding.close_stream();
-            self.lose_stream(&forwarding.dispatch, "repeating").await;
+            self.lose_stream(&forwarding.dispatch, "repeating", false)
+                .await;
         }
     }
 
@@ -385,15 +427,17 @@
             // can complete.
             AttemptResult::Complete(..)
             | AttemptResult::Partial(..)
-            | AttemptResult::ServerError(..) => self.lose_stream(&dispatch, "no-stream").await,
+            | AttemptResult::ServerError(..) => {
+                self.lose_stream(&dispatch, "no-stream", false).await;
+            }
             other => self.report_attempt(&dispatch, other).await,
         }
     }
 
     /// Reports to the decider that the stream of an attempt was lost.
-    async fn lose_stream(&mut self, dispatch: &Dispatch, result: &'static str) {
+    async fn lose_stream(&mut self, dispatch: &Dispatch, result: &'static str, crashed: bool) {
         self.log_failed_attempt(dispatch, result);
-        let event = self.lost_event();
+        let event = self.lost_event(crashed);
         self.send_event(dispatch, event).await;
     }
 
@@ -404,15 +448,26 @@
         dispatch.copy.is_some() || replica.is_some_and(|handle| handle.source == dispatch.address)
     }
 
+    /// Returns whether the caller does not have an event yet.
+    fn is_new(&self, event: &sse::Event) -> bool {
+        let is_duplicate = |last: u64| event.id.is_some_and(|id| id <= last);
+        !self.progress.last_event_id.is_some_and(is_duplicate)
+    }
+
+    /// Returns whether events are missing between the last one that the caller has and a new one.
+    fn skips_events(&self, event: &sse::Event) -> bool {
+        let next = self.progress.next_id();
+        next.is_some_and(|next| event.id.is_some_and(|id| id > next))
+    }
+
     /// Records an event and returns its bytes for the caller, or `None` if the caller already has
     /// the event.
     fn accept_event(&mut self, event: sse::Event) -> Option<Bytes> {
         let now = self.context.clock.now();
-        let is_duplicate = |last: u64| event.id.is_some_and(|id| id <= last);
-        if self.progress.last_event_id.is_some_and(is_duplicate) {
+        if !self.is_new(&event) {
             return None;
         }
-        self.progress.last_event_id = event.id.or(self.progress.last_event_id);
+        self.progress.record_id(event.id);
         self.progress.events += 1;
         self.progress
             .first_event_after
