Take responses without content as complete without a length

Cause: a response without a length and without content can't be told from one that was cut, except where the method or the status allows no content; only 204 was excepted.

Change: responses to HEAD, 204 and 304 need no length, and keep the one they have.

Evidence: response_that_has_no_content_needs_no_length fails on the code before (304: 502). response_that_ends_within_its_head_is_no_success closes after each byte of a head, with and without an interim response before it, before announced content, and without a length, for lookups, marks, letters and tags; it passes before and after. So does the test of cut reports and replica calls.

--- a/crates/exchange/src/relay.rs
+++ b/crates/exchange/src/relay.rs
@@ -421,6 +421,7 @@
     ) -> impl Future<Output = AttemptResult> + Send + 'static {
         let request = self.build_request(dispatch);
         let meta = self.meta.clone();
+        let method = self.parts.method.clone();
         let classify = match dispatch.hands_over {
             true => self.context.codec.classify_hand_over,
             false => self.context.codec.classify,
@@ -447,7 +448,7 @@
             if is_from_server {
                 notices.report_response(&parts, kind).await;
             }
-            let mut head = ResponseHead::of(&parts);
+            let mut head = ResponseHead::of(&method, &parts);
             if !is_from_server {
                 for field in notice_fields {
                     head.headers.remove(*field);
--- a/crates/exchange/src/relay/response.rs
+++ b/crates/exchange/src/relay/response.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::HeaderMap;
+use hyper::Method;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::header::CONTENT_LENGTH;
@@ -33,15 +34,22 @@
     /// Whether the response has neither a length nor chunks, and ends with its connection. If it has
     /// no content, it can't be told from that of a server that crashed before it wrote any.
     is_close_delimited: bool,
+    /// Whether the response has no content whatever its fields say (RFC 9110, section 6.4.1).
+    is_bodiless: bool,
 }
 
 impl ResponseHead {
-    pub(super) fn of(parts: &response::Parts) -> ResponseHead {
+    /// Returns the head of a response to a request with the given method.
+    pub(super) fn of(method: &Method, parts: &response::Parts) -> ResponseHead {
+        let is_empty = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&parts.status);
+        let is_bodiless = *method == Method::HEAD || is_empty;
+        let is_framed = parts.headers.contains_key(TRANSFER_ENCODING)
+            || parts.headers.contains_key(CONTENT_LENGTH);
         ResponseHead {
             status: parts.status,
             headers: end_to_end_headers(&parts.headers),
-            is_close_delimited: !parts.headers.contains_key(TRANSFER_ENCODING)
-                && !parts.headers.contains_key(CONTENT_LENGTH),
+            is_close_delimited: !is_framed && !is_bodiless,
+            is_bodiless,
         }
     }
 
@@ -57,8 +65,11 @@
     }
 
     pub(super) fn into_response(mut self, body: ResponseBody) -> Response<ResponseBody> {
-        // Hyper writes the length of the body that is sent.
-        self.headers.remove(CONTENT_LENGTH);
+        // Hyper writes the length of the body that is sent. Without one the length is that of the
+        // content which the server would have sent.
+        if !self.is_bodiless {
+            self.headers.remove(CONTENT_LENGTH);
+        }
         let mut response = Response::new(body);
         *response.status_mut() = self.status;
         *response.headers_mut() = self.headers;
@@ -206,7 +217,7 @@
     let bytes = buffer.freeze();
     if is_error {
         AttemptResult::ServerError(head, bytes)
-    } else if bytes.is_empty() && head.is_close_delimited && head.status != StatusCode::NO_CONTENT {
+    } else if bytes.is_empty() && head.is_close_delimited {
         AttemptResult::Lost
     } else {
         AttemptResult::Complete(head, bytes)
