--- a/crates/core/src/suspects.rs
+++ b/crates/core/src/suspects.rs
@@ -354,13 +354,13 @@
     /// Returns whether a request is the one on trial for a fingerprint, and makes it so if there is
     /// none.
     fn take_trial_of(&mut self, subject: Fingerprint, id: RequestId) -> bool {
-        let is_live = |trial: &Trial| {
-            let has_ended = |id: RequestId| !self.jobs.contains_key(&id);
+        let jobs = &self.jobs;
+        let has_ended = |id: RequestId| !jobs.contains_key(&id);
+        self.suspects.trials.retain(|_, trial| {
             self.now.saturating_sub(trial.started_at) < TRIAL_TIME
                 && !trial.request.is_some_and(has_ended)
-        };
-        let trial = self.suspects.trials.get(&subject);
-        if let Some(trial) = trial.filter(|trial| is_live(trial)) {
+        });
+        if let Some(trial) = self.suspects.trials.get(&subject) {
             return trial.request == Some(id);
         }
         let trial = Trial {
--- a/crates/core/tests/suspect_requests.rs
+++ b/crates/core/tests/suspect_requests.rs
@@ -77,7 +77,10 @@
     }
 }
 
-fn nothing(_: &mut Fleet) {}
+/// Sends sound lookups of the tenant for a time.
+fn serve_lookups(fleet: &mut Fleet, queries: Queries, time: Duration) {
+    serve(fleet, Kind::Lookup, queries, time, |_| {});
+}
 
 /// Crashes servers while each runs some sound lookups of the tenant.
 fn crash_busy(fleet: &mut Fleet, queries: Queries, servers: &[usize]) {
@@ -172,30 +175,12 @@
 fn lookups_are_served_after_the_servers_of_a_data_centre_fail() {
     for queries in [Queries::Distinct, Queries::Same] {
         let mut fleet = start(1);
-        serve(
-            &mut fleet,
-            Kind::Lookup,
-            queries,
-            Duration::from_secs(2),
-            nothing,
-        );
+        serve_lookups(&mut fleet, queries, Duration::from_secs(2));
         let from = fleet.now;
         crash_busy(&mut fleet, queries, &apps_of(1));
-        serve(
-            &mut fleet,
-            Kind::Lookup,
-            queries,
-            Duration::from_millis(4_500),
-            nothing,
-        );
+        serve_lookups(&mut fleet, queries, Duration::from_millis(4_500));
         fleet.restart(&apps_of(1));
-        serve(
-            &mut fleet,
-            Kind::Lookup,
-            queries,
-            Duration::from_secs(6),
-            nothing,
-        );
+        serve_lookups(&mut fleet, queries, Duration::from_secs(6));
         assert_sound_are_served(&mut fleet, from, &format!("{queries:?}"));
         assert!(!is_logged(&fleet, "is barred"));
     }
@@ -206,13 +191,7 @@
 fn lookups_are_served_while_servers_fail_in_turn() {
     for queries in [Queries::Distinct, Queries::Same] {
         let mut fleet = start(2);
-        serve(
-            &mut fleet,
-            Kind::Lookup,
-            queries,
-            Duration::from_secs(2),
-            nothing,
-        );
+        serve_lookups(&mut fleet, queries, Duration::from_secs(2));
         let from = fleet.now;
         for round in 0..8 {
             let down = match round % 2 {
@@ -220,29 +199,11 @@
                 _ => vec![ENGINES + round],
             };
             crash_busy(&mut fleet, queries, &down);
-            serve(
-                &mut fleet,
-                Kind::Lookup,
-                queries,
-                Duration::from_millis(1_500),
-                nothing,
-            );
+            serve_lookups(&mut fleet, queries, Duration::from_millis(1_500));
             fleet.restart(&down);
-            serve(
-                &mut fleet,
-                Kind::Lookup,
-                queries,
-                Duration::from_millis(200),
-                nothing,
-            );
+            serve_lookups(&mut fleet, queries, Duration::from_millis(200));
         }
-        serve(
-            &mut fleet,
-            Kind::Lookup,
-            queries,
-            Duration::from_secs(3),
-            nothing,
-        );
+        serve_lookups(&mut fleet, queries, Duration::from_secs(3));
         assert_sound_are_served(&mut fleet, from, &format!("{queries:?}"));
         assert!(!is_logged(&fleet, "is barred"));
     }
@@ -255,7 +216,7 @@
         for seed in 3..6 {
             let mut fleet = start(seed);
             let time = Duration::from_secs(2);
-            serve(&mut fleet, Kind::Lookup, queries, time, nothing);
+            serve_lookups(&mut fleet, queries, time);
             let from = fleet.now;
             let bad = send_bad_each(Duration::from_millis(800), Kind::Lookup);
             serve(
@@ -311,13 +272,7 @@
             for instance in 0..INSTANCES {
                 send_bad(&mut fleet, instance, Kind::Mark);
             }
-            serve(
-                &mut fleet,
-                Kind::Lookup,
-                Queries::Distinct,
-                Duration::from_secs(5),
-                nothing,
-            );
+            serve_lookups(&mut fleet, Queries::Distinct, Duration::from_secs(5));
         }
         assert_bad_is_stopped(&fleet, &format!("seed {seed}"));
     }
@@ -416,13 +371,7 @@
     for _ in 0..6 {
         let instance = fleet.rng.usize(2..INSTANCES);
         fleet.send_content(instance, Kind::Mark, alone);
-        serve(
-            &mut fleet,
-            Kind::Lookup,
-            Queries::Distinct,
-            Duration::from_millis(800),
-            nothing,
-        );
+        serve_lookups(&mut fleet, Queries::Distinct, Duration::from_millis(800));
     }
     // Two servers are enough for such a build.
     assert!(
@@ -439,31 +388,13 @@
 fn strikes_of_an_earlier_build_bar_no_lookups_that_are_served() {
     for queries in [Queries::Distinct, Queries::Same] {
         let mut fleet = start(18);
-        serve(
-            &mut fleet,
-            Kind::Lookup,
-            queries,
-            Duration::from_secs(2),
-            nothing,
-        );
+        serve_lookups(&mut fleet, queries, Duration::from_secs(2));
         let from = fleet.now;
         for round in 0..6 {
             fleet.strike(GROUP, round);
-            serve(
-                &mut fleet,
-                Kind::Lookup,
-                queries,
-                Duration::from_millis(300),
-                nothing,
-            );
+            serve_lookups(&mut fleet, queries, Duration::from_millis(300));
         }
-        serve(
-            &mut fleet,
-            Kind::Lookup,
-            queries,
-            Duration::from_secs(4),
-            nothing,
-        );
+        serve_lookups(&mut fleet, queries, Duration::from_secs(4));
         assert_sound_are_served(&mut fleet, from, &format!("{queries:?}"));
     }
 }
--- a/crates/exchange/src/relay.rs
+++ b/crates/exchange/src/relay.rs
@@ -2,11 +2,13 @@
 //!
 //! A relay makes the attempts that the decider orders and reports their results. Its modules:
 //! `body` holds the bodies of requests and responses, `response` reads a server's response,
-//! `streaming` forwards a response to the caller over several attempts, `replication` keeps a
-//! replica of a running generation, `notice` reports what servers state about themselves.
+//! `streaming` forwards a response to the caller over several attempts, `progress` holds how far that
+//! has come, `replication` keeps a replica of a running generation, `notice` reports what servers
+//! state about themselves.
 
 mod body;
 mod notice;
+mod progress;
 mod replication;
 mod response;
 mod streaming;
@@ -64,6 +66,7 @@
 use crate::relay::body::empty_response;
 use crate::relay::body::read_body;
 use crate::relay::notice::NoticeReporter;
+use crate::relay::progress::Progress;
 use crate::relay::replication::Replication;
 use crate::relay::response::AttemptResult;
 use crate::relay::response::ResponseHead;
@@ -205,57 +208,6 @@
     replica_source: Option<(wire::Name, wire::BootId)>,
 }
 
-/// Progress of a response stream.
-#[derive(Clone, Copy, Debug, Default)]
-struct Progress {
-    /// Id of the last event that the caller has received or that was queued for it.
-    last_event_id: Option<u64>,
-    /// Number of events that were queued for the caller.
-    events: u32,
-    /// Time from the request's arrival to the first event.
-    first_event_after: Option<Duration>,
-    last_event_at: Option<Time>,
-    /// Longest time between two events.
-    longest_gap: Duration,
-    /// Difference between the ids of successive events.
-    id_step: IdStep,
-}
-
-/// Difference between the ids of successive events of a stream.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-enum IdStep {
-    /// No two ids are known.
-    #[default]
-    Unknown,
-    /// It is always the same.
-    Constant(u64),
-    /// It varies, so that events that are missing can't be told.
-    Varying,
-}
-
-impl Progress {
-    /// Records the id of a new event.
-    fn record_id(&mut self, id: Option<u64>) {
-        let Some(id) = id else { return };
-        // The ids of a stream count from zero.
-        let step = id.saturating_sub(self.last_event_id.unwrap_or(0));
-        self.id_step = match self.id_step {
-            IdStep::Unknown if step > 0 => IdStep::Constant(step),
-            IdStep::Constant(known) if known != step => IdStep::Varying,
-            known => known,
-        };
-        self.last_event_id = Some(id);
-    }
-
-    /// Returns the id of the next event, if it can be told.
-    fn next_id(&self) -> Option<u64> {
-        match (self.id_step, self.last_event_id) {
-            (IdStep::Constant(step), Some(last)) => Some(last + step),
-            _ => None,
-        }
-    }
-}
-
 impl Relay {
     fn new(
         context: Arc<RelayContext>,
@@ -318,10 +270,7 @@
                 .detach()
                 .await;
         });
-        let progress = Progress {
-            last_event_id: meta.last_event_id,
-            ..Progress::default()
-        };
+        let progress = Progress::after(meta.last_event_id);
         Relay {
             context,
             cancel_guard,
