Bound the id that is expected next in a stream

An id at the limit of its range would have overflowed (debug builds panic, release builds wrap). Shown by ids_at_the_limit_of_their_range_are_passed_on.

--- a/crates/exchange/src/relay/progress.rs
+++ b/crates/exchange/src/relay/progress.rs
@@ -57,7 +57,7 @@
     /// Returns the id of the next event, if it can be told.
     pub(super) fn next_id(&self) -> Option<u64> {
         match (self.id_step, self.last_event_id) {
-            (IdStep::Constant(step), Some(last)) => Some(last + step),
+            (IdStep::Constant(step), Some(last)) => Some(last.saturating_add(step)),
             _ => None,
         }
     }
