Let exact findings replace vaguer ones of the same crash

Traced: the strikes that are broadcast for earlier builds overtook the findings that they repeat; the crash of a server was then known by a time that is exact to 1.5 s only, so that three crashes were one episode there, and the findings were dropped as known.

--- a/crates/core/src/lifecycle.rs
+++ b/crates/core/src/lifecycle.rs
@@ -615,8 +615,8 @@
         }
         let request = job.request.clone();
         let text = format!(
-            "Request {id} ({:016x} of {:016x}) was running on server {} (boot {}) when the server crashed, {} tokens \
-             generated, prompt parts {}.",
+            "Request {id} ({:016x} of {:016x}) was running on server {} (boot {}) when the server \
+             crashed, {} tokens generated, prompt parts {}.",
             request.fingerprint,
             request.group,
             lost.server,
--- a/crates/suspect/src/table.rs
+++ b/crates/suspect/src/table.rs
@@ -432,7 +432,8 @@
 
     fn add_crash(&mut self, now: Time, subject: Subject, crash: Crash) -> bool {
         let record = self.record(now, subject);
-        if record.crashes.contains_key(&crash.server) {
+        let known = record.crashes.get(&crash.server);
+        if known.is_some_and(|known| known.precision <= crash.precision) {
             return false;
         }
         if record.crashes.len() >= CRASHES_MAX {
--- a/crates/suspect/tests/requests.rs
+++ b/crates/suspect/tests/requests.rs
@@ -242,3 +242,36 @@
     assert_eq!(gossiped.len(), 2);
     assert!(gossiped.iter().all(is_exact));
 }
+
+/// Guards against a strike that arrives before the findings which it repeats, and hides their times.
+#[test]
+fn finding_replaces_a_vaguer_one_of_the_same_crash() {
+    let mut table = Table::new(REQUESTS);
+    for server in 0..3 {
+        let vague = Finding {
+            age: Duration::from_millis(300),
+            precision: Duration::from_millis(1_500),
+            ..Finding::new(
+                REQUEST,
+                Evidence::Crash {
+                    server,
+                    request: server,
+                },
+            )
+        };
+        table.merge(after(2_000), &vague);
+    }
+    assert!(!is_barred(&table, after(2_000), REQUEST));
+    for server in 0..3 {
+        let evidence = Evidence::Crash {
+            server,
+            request: REQUEST,
+        };
+        let exact = Finding {
+            age: Duration::from_millis(2_000 - server * 800),
+            ..Finding::new(REQUEST, evidence)
+        };
+        assert!(table.merge(after(2_000), &exact));
+    }
+    assert!(is_barred(&table, after(2_000), REQUEST));
+}
