Look for gaps only where an answer goes on with another's stream

Ids only increase; within one response uneven ones are its server's. stream_with_uneven_ids_is_passed_on fails on the code before. ids_at_the_limit_of_their_range_are_passed_on asks for the whole response again.

--- a/crates/exchange/src/relay/streaming.rs
+++ b/crates/exchange/src/relay/streaming.rs
@@ -368,7 +368,8 @@
         }
         let size = event.bytes.len();
         let has_id = event.id.is_some();
-        if self.skips_events(&event) {
+        // Within one response, uneven ids are those of its server.
+        if forwarding.continuation.is_some() && self.skips_events(&event) {
             forwarding.close_stream();
             self.lose_stream(&forwarding.dispatch, "gap", false).await;
             return;
