--- a/crates/exchange/src/relay.rs
+++ b/crates/exchange/src/relay.rs
@@ -4,7 +4,7 @@
 //! `body` holds the bodies of requests and responses, `response` reads a server's response,
 //! `streaming` forwards a response to the caller over several attempts, `progress` holds how far that
 //! has come, `replication` keeps a replica of a running generation, `earlier_run` holds runs that were
-//! given up, `notice` reports what servers state about themselves.
+//! given up, `stop` stops a run at its server, `notice` reports what servers state about themselves.
 
 mod body;
 mod earlier_run;
@@ -12,6 +12,7 @@
 mod progress;
 mod replication;
 mod response;
+mod stop;
 mod streaming;
 
 use std::collections::VecDeque;
--- a/crates/exchange/src/relay/streaming.rs
+++ b/crates/exchange/src/relay/streaming.rs
@@ -22,7 +22,6 @@
 use super::Truncated;
 use super::earlier_run::EarlierRun;
 use super::earlier_run::Endings;
-use super::earlier_run::RunEnd;
 use super::earlier_run::claim_used;
 use super::outcome_labels;
 use super::replication::Replication;
@@ -30,6 +29,7 @@
 use super::response::ResponseHead;
 use super::response::ResponseStream;
 use super::response::StreamItem;
+use super::stop::RunEnd;
 use crate::sse;
 
 /// Maximum number of events queued for a slow caller. While the queue is full, no more events are
