Log whether a run had begun, and what became of it after the next attempt

The logs could not distinguish a run that has ended from one that its server did not know yet: both are 'absent'. And nothing told what a server stated that was not reached at first. Three additions: the field 'begun' and the result 'unanswered' for attempts that were lost before a response, a line for what a server states in the background, and the kind 'late' of the metric. No decision changes.

--- a/crates/exchange/src/relay.rs
+++ b/crates/exchange/src/relay.rs
@@ -411,7 +411,7 @@
         let attempting = self.run_attempt(dispatch);
         let result = self.run_until_command(dispatch.attempt, attempting).await;
         match &result {
-            None => self.give_up_run(dispatch),
+            None => self.give_up_run(dispatch, false),
             Some(
                 AttemptResult::EventStream(..)
                 | AttemptResult::Complete(..)
@@ -556,6 +556,7 @@
 
     /// Reports to the decider that an attempt produced no response for the caller.
     async fn report_attempt(&mut self, dispatch: &Dispatch, result: AttemptResult) {
+        let has_begun = matches!(result, AttemptResult::Incomplete | AttemptResult::NoStream);
         let (event, result) = match result {
             AttemptResult::Unreachable => (Event::Unreachable, "unreachable"),
             AttemptResult::NotExecuted => (Event::Refused, "not-run"),
@@ -567,10 +568,11 @@
             }
             AttemptResult::Withheld => (Event::Failed, "withheld"),
             AttemptResult::NoStream => (self.lost_event(false), "no-stream"),
+            AttemptResult::Lost => (self.lost_event(true), "unanswered"),
             _ => (self.lost_event(true), "broken"),
         };
         if matches!(event, Event::Lost { .. }) {
-            self.give_up_run(dispatch);
+            self.give_up_run(dispatch, has_begun);
         }
         self.log_failed_attempt(dispatch, result);
         self.send_event(dispatch, event).await;
--- a/crates/exchange/src/relay/earlier_run.rs
+++ b/crates/exchange/src/relay/earlier_run.rs
@@ -32,6 +32,8 @@
     boot: BootId,
     address: SocketAddr,
     given_up_at: Time,
+    /// Whether the server has begun to respond, so that it knows the run.
+    has_begun: bool,
     /// Whether the attempt is silent and its connection is open.
     is_silent: bool,
     stop: Option<Stop>,
@@ -85,18 +87,20 @@
 }
 
 impl Relay {
-    /// Records that an attempt is given up while its server may still run the request.
-    pub(super) fn give_up_run(&mut self, dispatch: &Dispatch) {
-        self.record_earlier_run(dispatch, false);
+    /// Records that an attempt is given up while its server may still run the request. `has_begun`
+    /// tells whether the server has begun to respond.
+    pub(super) fn give_up_run(&mut self, dispatch: &Dispatch, has_begun: bool) {
+        self.record_earlier_run(dispatch, false, has_begun);
     }
 
-    fn record_earlier_run(&mut self, dispatch: &Dispatch, is_silent: bool) {
+    fn record_earlier_run(&mut self, dispatch: &Dispatch, is_silent: bool, has_begun: bool) {
         if dispatch.hands_over || !self.is_generation {
             return;
         }
         let is_attempt = |run: &&mut EarlierRun| run.attempt == dispatch.attempt;
         if let Some(run) = self.earlier_runs.iter_mut().find(is_attempt) {
             run.is_silent = is_silent;
+            run.has_begun |= has_begun;
             // A server that was not reached may be reached again.
             run.stop.take_if(|stop| stop.is_unreachable());
             return;
@@ -107,6 +111,7 @@
             boot: dispatch.boot,
             address: dispatch.address,
             given_up_at: self.context.clock.now(),
+            has_begun,
             is_silent,
             stop: None,
         });
@@ -120,7 +125,7 @@
         next: &Dispatch,
     ) -> Option<impl Future<Output = ()> + Send + 'static> {
         if let Some(dispatch) = silent {
-            self.record_earlier_run(dispatch, true);
+            self.record_earlier_run(dispatch, true, true);
         }
         let mut runs = std::mem::take(&mut self.earlier_runs);
         let mut ends = Vec::new();
@@ -131,6 +136,7 @@
                     boot: run.boot,
                     address: run.address,
                     has_connection: run.is_silent,
+                    given_up_at: run.given_up_at,
                 };
                 run.stop = Some(self.spawn_stop(&target, next.address));
             }
@@ -152,7 +158,7 @@
 
     /// Starts to stop a run that is given up in favour of another one.
     pub(super) fn stop_run_for(&mut self, dispatch: &Dispatch, other: &Dispatch) {
-        self.give_up_run(dispatch);
+        self.give_up_run(dispatch, false);
         // The attempt that was preferred need not wait for it.
         drop(self.stop_earlier_runs(None, other));
     }
@@ -199,6 +205,7 @@
                 life = run.boot,
                 next = next.server.as_str(),
                 proof = proof,
+                begun = run.has_begun,
                 given_up_ms = millis(now.saturating_sub(run.given_up_at));
                 "relay: Run given up before."
             );
--- a/crates/exchange/src/relay/response.rs
+++ b/crates/exchange/src/relay/response.rs
@@ -89,9 +89,11 @@
     NotSent(Option<Replica>),
     /// The instance to which the request was handed over refused it, as no server has room for it.
     NoRoom(Duration),
-    /// The connection was lost, or the response belongs to another request. The request may have
-    /// run.
+    /// The connection was lost before a response, or the response belongs to another request. The
+    /// request may have run, and may still be on its way to the server.
     Lost,
+    /// The server has begun to respond, and its response is not complete.
+    Incomplete,
     /// A response that can't continue the stream that the caller has received the beginning of.
     NoStream,
     /// An error response of the server that must not reach the caller.
@@ -190,9 +192,9 @@
             stream.first = Some(event);
             AttemptResult::EventStream(head, stream)
         }
-        StreamItem::End if head.is_close_delimited => AttemptResult::Lost,
+        StreamItem::End if head.is_close_delimited => AttemptResult::Incomplete,
         StreamItem::End => AttemptResult::Complete(head, Bytes::new()),
-        StreamItem::Truncated | StreamItem::Silent => AttemptResult::Lost,
+        StreamItem::Truncated | StreamItem::Silent => AttemptResult::Incomplete,
     }
 }
 
@@ -208,7 +210,7 @@
     loop {
         match body.frame().await {
             None => break,
-            Some(Err(_)) => return AttemptResult::Lost,
+            Some(Err(_)) => return AttemptResult::Incomplete,
             Some(Ok(frame)) => {
                 if let Ok(data) = frame.into_data() {
                     buffer.extend_from_slice(&data);
@@ -217,7 +219,7 @@
         }
         if buffer.len() > BUFFERED_BYTES_MAX && is_error {
             // Another attempt may replace an error, so it is not forwarded as it arrives.
-            return AttemptResult::Lost;
+            return AttemptResult::Incomplete;
         }
         if buffer.len() > BUFFERED_BYTES_MAX {
             let stream = ResponseStream::new(&head, body, guard, false);
@@ -228,7 +230,7 @@
     if is_error {
         AttemptResult::ServerError(head, bytes)
     } else if bytes.is_empty() && head.is_close_delimited {
-        AttemptResult::Lost
+        AttemptResult::Incomplete
     } else {
         AttemptResult::Complete(head, bytes)
     }
--- a/crates/exchange/src/relay/stop.rs
+++ b/crates/exchange/src/relay/stop.rs
@@ -6,6 +6,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use clock::Time;
+use compact_str::CompactString;
 use gateway::partition::Partition;
 use hyper::StatusCode;
 use tokio::sync::watch;
@@ -14,6 +16,8 @@
 use wire::BootId;
 
 use super::Relay;
+use super::RelayContext;
+use super::millis;
 use super::notice::NoticeReporter;
 use crate::codec::ReplicateCall;
 use crate::connection;
@@ -70,6 +74,8 @@
     pub(super) address: SocketAddr,
     /// Whether the attempt's own connection is open.
     pub(super) has_connection: bool,
+    /// When the run was given up.
+    pub(super) given_up_at: Time,
 }
 
 impl RunEnd {
@@ -142,6 +148,13 @@
             partition: self.context.partition.clone(),
             notices: NoticeReporter::new(&self.context, target.server.clone(), target.boot),
         };
+        let late = LateEnd {
+            context: self.context.clone(),
+            id: self.meta.caller_request_id.clone(),
+            server: target.server.clone(),
+            boot: target.boot,
+            given_up_at: target.given_up_at,
+        };
         // The copy that is to be used may be known under the same handle.
         let replica_handle = self.replica_handle.clone();
         tokio::spawn(async move {
@@ -149,7 +162,9 @@
             let handle = match &end {
                 RunEnd::Unreachable => {
                     sender.send_replace(Some(end));
-                    call.run_in_background().await
+                    let late_end = call.run_in_background().await;
+                    late.log(&late_end);
+                    late_end.handle().cloned()
                 }
                 _ => {
                     let handle = end.handle().cloned();
@@ -172,6 +187,35 @@
     }
 }
 
+/// Reports what became of a run after the next attempt was sent without proof of its end.
+struct LateEnd {
+    context: Arc<RelayContext>,
+    id: CompactString,
+    server: wire::Name,
+    boot: BootId,
+    given_up_at: Time,
+}
+
+impl LateEnd {
+    fn log(&self, end: &RunEnd) {
+        let now = self.context.clock.now();
+        let metrics = &self.context.metrics;
+        if end.handle().is_some() {
+            metrics.count_earlier_run("late");
+        }
+        if self.context.log_limiter.allows(now, false) {
+            log::info!(
+                id = self.id.as_str(),
+                server = self.server.as_str(),
+                life = self.boot,
+                proof = end.as_str(),
+                given_up_ms = millis(now.saturating_sub(self.given_up_at));
+                "relay: Run asked after in the background."
+            );
+        }
+    }
+}
+
 /// A call that stops a run.
 struct Call {
     address: SocketAddr,
@@ -208,19 +252,18 @@
         }
     }
 
-    /// Asks a server that was not reached for [`BACKGROUND_TIMEOUT`] more. Returns the handle of the
-    /// run's memory if the server has stopped the run.
-    async fn run_in_background(&self) -> Option<Handle> {
+    /// Asks a server that was not reached for [`BACKGROUND_TIMEOUT`] more.
+    async fn run_in_background(&self) -> RunEnd {
         let deadline = Instant::now() + BACKGROUND_TIMEOUT;
         while Instant::now() < deadline {
             tokio::time::sleep(BACKGROUND_PAUSE).await;
             match tokio::time::timeout_at(deadline, self.ask()).await {
-                Ok(Ok(Some(end))) => return end.handle().cloned(),
-                Ok(Err(ConnectionError::Refused)) => return None,
+                Ok(Ok(Some(end))) => return end,
+                Ok(Err(ConnectionError::Refused)) => return RunEnd::Gone,
                 _ => {}
             }
         }
-        None
+        RunEnd::Unreachable
     }
 
     /// Asks the server once. Returns the end of the run if the response states it.
--- a/crates/exchange/src/relay/streaming.rs
+++ b/crates/exchange/src/relay/streaming.rs
@@ -104,6 +104,13 @@
     Answered(Box<AttemptResult>),
 }
 
+/// An attempt that was cancelled after it had been sent.
+struct Cancelled {
+    dispatch: Dispatch,
+    /// Whether its server has begun to respond.
+    has_begun: bool,
+}
+
 /// What follows after an event of the forwarding loop.
 enum Step {
     /// The stream goes on.
@@ -195,17 +202,23 @@
         self.stream = None;
     }
 
-    /// Closes the connection of an attempt. Returns its dispatch if its server may have run it.
-    fn cancel(&mut self, attempt: AttemptId) -> Option<Dispatch> {
+    /// Closes the connection of an attempt. Returns the attempt if its server may have run it.
+    fn cancel(&mut self, attempt: AttemptId) -> Option<Cancelled> {
         let is_successor = |successor: &mut Successor| successor.dispatch.attempt == attempt;
         if let Some(successor) = self.successor.take_if(is_successor) {
-            return successor.into_sent();
+            return successor.into_sent().map(|dispatch| Cancelled {
+                dispatch,
+                has_begun: false,
+            });
         }
         if self.dispatch.attempt != attempt {
             return None;
         }
         self.close_stream();
-        Some(self.dispatch.clone())
+        Some(Cancelled {
+            dispatch: self.dispatch.clone(),
+            has_begun: true,
+        })
     }
 }
 
@@ -376,7 +389,7 @@
             }
             RelayCommand::Cancel(attempt) => {
                 if let Some(cancelled) = forwarding.cancel(attempt) {
-                    self.give_up_run(&cancelled);
+                    self.give_up_run(&cancelled.dispatch, cancelled.has_begun);
                 }
             }
             RelayCommand::Copy(..) | RelayCommand::Orphan => {}
@@ -569,7 +582,7 @@
             AttemptResult::EventStream(_, stream) => {
                 self.send_event(&dispatch, Event::Accepted).await;
                 if forwarding.stream.is_some() {
-                    self.give_up_run(&forwarding.dispatch);
+                    self.give_up_run(&forwarding.dispatch, true);
                 }
                 claim_used(&dispatch, ended.iter().chain(&forwarding.stopped));
                 forwarding.replace(dispatch, stream);
@@ -618,7 +631,7 @@
     /// Reports to the decider that the stream of an attempt was lost.
     async fn lose_stream(&mut self, dispatch: &Dispatch, result: &'static str, crashed: bool) {
         self.log_failed_attempt(dispatch, result);
-        self.give_up_run(dispatch);
+        self.give_up_run(dispatch, true);
         let event = self.lost_event(crashed);
         self.send_event(dispatch, event).await;
     }
