Ask on after a refused connection, which is no proof that a run has ended

What servers saw: a request at work at two of them for 0.7 s after the first had accepted connections again; with a silent run whose own connection was open, for as long as the run went on.

Cause: a refused connection counted as proof that the process had ended, and the server was not asked again. Whatever refuses for a moment (a full queue of connections, a restarted proxy) leaves its runs at work. Three refusals in a row, which take less than a millisecond, also outweighed the open connection of a silent run.

Now the next attempt is sent as before, so that callers of servers that did crash wait no longer, and the server is asked on in the background until it states the end of the run. While the run's connection is open, a refusal says nothing: the silent run stays where it is. The proof is called 'refused'.

--- a/crates/exchange/src/relay/earlier_run.rs
+++ b/crates/exchange/src/relay/earlier_run.rs
@@ -6,6 +6,9 @@
 //! attempt is not sent.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use clock::Time;
@@ -34,8 +37,10 @@
     given_up_at: Time,
     /// Whether the server has begun to respond, so that it knows the run.
     has_begun: bool,
-    /// Whether the attempt is silent and its connection is open.
+    /// Whether the attempt is silent. Its connection was open when the run was stopped.
     is_silent: bool,
+    /// Whether the attempt's connection is open.
+    is_connected: Arc<AtomicBool>,
     stop: Option<Stop>,
 }
 
@@ -100,6 +105,7 @@
         let is_attempt = |run: &&mut EarlierRun| run.attempt == dispatch.attempt;
         if let Some(run) = self.earlier_runs.iter_mut().find(is_attempt) {
             run.is_silent = is_silent;
+            run.is_connected.store(is_silent, Ordering::Relaxed);
             run.has_begun |= has_begun;
             // A server that was not reached may be reached again.
             run.stop.take_if(|stop| stop.is_unreachable());
@@ -113,10 +119,19 @@
             given_up_at: self.context.clock.now(),
             has_begun,
             is_silent,
+            is_connected: Arc::new(AtomicBool::new(is_silent)),
             stop: None,
         });
     }
 
+    /// Records that the connection of an attempt has ended whose run is being stopped.
+    pub(super) fn record_disconnect(&self, dispatch: &Dispatch) {
+        let is_attempt = |run: &&EarlierRun| run.attempt == dispatch.attempt;
+        if let Some(run) = self.earlier_runs.iter().find(is_attempt) {
+            run.is_connected.store(false, Ordering::Relaxed);
+        }
+    }
+
     /// Starts to stop the runs before an attempt, that of a silent server included. Returns a future
     /// that waits for their ends for a limited time, or `None` if there are none.
     pub(super) fn stop_earlier_runs(
@@ -135,7 +150,7 @@
                     server: &run.server,
                     boot: run.boot,
                     address: run.address,
-                    has_connection: run.is_silent,
+                    is_connected: run.is_connected.clone(),
                     given_up_at: run.given_up_at,
                 };
                 run.stop = Some(self.spawn_stop(&target, next.address));
--- a/crates/exchange/src/relay/stop.rs
+++ b/crates/exchange/src/relay/stop.rs
@@ -33,8 +33,11 @@
 /// Time for which a server that is not reached is asked further, since it may be reached again while
 /// it still runs the request.
 const BACKGROUND_TIMEOUT: Duration = Duration::from_secs(10);
-/// Pause before it is asked again.
-const BACKGROUND_PAUSE: Duration = Duration::from_millis(200);
+/// Pause before a server is asked again in the background for the first time.
+const BACKGROUND_PAUSE_MIN: Duration = Duration::from_millis(100);
+/// Longest pause before it is asked again. Pauses double up to this one. Two servers may work on a
+/// request for no longer than 400 ms.
+const BACKGROUND_PAUSE_MAX: Duration = Duration::from_millis(300);
 /// Number of connections that can't be established after which a server counts as unreachable.
 const UNREACHABLE_CONNECTIONS: u32 = 3;
 
@@ -47,8 +50,9 @@
     Kept(Handle),
     /// The server knows no such run.
     Absent,
-    /// The connection of the attempt has ended, and no process listens at the server's address.
-    Gone,
+    /// The connection of the attempt has ended, and the server's address refuses connections. The
+    /// process has most likely ended, but the run may go on if it has not.
+    Refused,
     /// No connection to the server can be established.
     Unreachable,
     /// The server is reached and has not confirmed the end of the run.
@@ -73,7 +77,7 @@
     /// Address of its server.
     pub(super) address: SocketAddr,
     /// Whether the attempt's own connection is open.
-    pub(super) has_connection: bool,
+    pub(super) is_connected: Arc<AtomicBool>,
     /// When the run was given up.
     pub(super) given_up_at: Time,
 }
@@ -85,7 +89,7 @@
             RunEnd::Moved(_) => "moved",
             RunEnd::Kept(_) => "kept",
             RunEnd::Absent => "absent",
-            RunEnd::Gone => "gone",
+            RunEnd::Refused => "refused",
             RunEnd::Unreachable => "unreachable",
             RunEnd::Unknown => "unknown",
         }
@@ -95,7 +99,7 @@
     pub(super) fn handle(&self) -> Option<&Handle> {
         match self {
             RunEnd::Moved(handle) | RunEnd::Kept(handle) => Some(handle),
-            RunEnd::Absent | RunEnd::Gone | RunEnd::Unreachable | RunEnd::Unknown => None,
+            RunEnd::Absent | RunEnd::Refused | RunEnd::Unreachable | RunEnd::Unknown => None,
         }
     }
 }
@@ -144,7 +148,7 @@
             address: target.address,
             call: (codec.replicate_call)(&self.meta, to, true),
             replica_name: codec.replica_name,
-            has_connection: target.has_connection,
+            is_connected: target.is_connected.clone(),
             partition: self.context.partition.clone(),
             notices: NoticeReporter::new(&self.context, target.server.clone(), target.boot),
         };
@@ -159,19 +163,17 @@
         let replica_handle = self.replica_handle.clone();
         tokio::spawn(async move {
             let end = call.run().await;
-            let handle = match &end {
-                RunEnd::Unreachable => {
-                    sender.send_replace(Some(end));
-                    let late_end = call.run_in_background().await;
+            sender.send_replace(Some(end.clone()));
+            let handle = match call.is_proof(&end) || end == RunEnd::Unknown {
+                true => {
+                    sender.closed().await;
+                    end.handle().cloned()
+                }
+                false => {
+                    let late_end = call.run_in_background(end).await;
                     late.log(&late_end);
                     late_end.handle().cloned()
                 }
-                _ => {
-                    let handle = end.handle().cloned();
-                    sender.send_replace(Some(end));
-                    sender.closed().await;
-                    handle
-                }
             };
             let is_used = is_claimed.load(Ordering::Relaxed) || handle == replica_handle;
             if let Some(handle) = handle.filter(|_| !is_used) {
@@ -222,13 +224,21 @@
     call: ReplicateCall,
     replica_name: fn(&[u8]) -> Option<wire::Name>,
     /// Whether the attempt's own connection is open.
-    has_connection: bool,
+    is_connected: Arc<AtomicBool>,
     partition: Arc<Partition>,
     notices: NoticeReporter,
 }
 
 impl Call {
-    /// Asks the server until it confirms that the run has ended, or until [`STOP_TIMEOUT`] has passed.
+    /// Returns whether a run that seems to have ended in this way can't go on or begin.
+    fn is_proof(&self, end: &RunEnd) -> bool {
+        match end {
+            RunEnd::Moved(_) | RunEnd::Kept(_) | RunEnd::Absent => true,
+            RunEnd::Refused | RunEnd::Unreachable | RunEnd::Unknown => false,
+        }
+    }
+
+    /// Asks the server until it states that the run has ended, or until [`STOP_TIMEOUT`] has passed.
     async fn run(&self) -> RunEnd {
         let deadline = Instant::now() + STOP_TIMEOUT;
         let mut unreachable = 0;
@@ -237,14 +247,17 @@
             match tokio::time::timeout_at(deadline, self.ask()).await {
                 Err(_) => return RunEnd::Unknown,
                 Ok(Ok(Some(end))) => return end,
-                Ok(Err(ConnectionError::Refused)) if !self.has_connection => return RunEnd::Gone,
-                Ok(Err(ConnectionError::Unreachable | ConnectionError::Refused)) => {
+                // A process that has ended has closed its connections.
+                Ok(Err(ConnectionError::Refused)) if !self.is_connected() => {
+                    return RunEnd::Refused;
+                }
+                Ok(Err(ConnectionError::Unreachable)) => {
                     unreachable += 1;
                     if unreachable == UNREACHABLE_CONNECTIONS {
                         return RunEnd::Unreachable;
                     }
                 }
-                Ok(Ok(None) | Err(ConnectionError::Lost)) => {
+                Ok(Ok(None) | Err(ConnectionError::Lost | ConnectionError::Refused)) => {
                     tokio::time::sleep(pause).await;
                     pause = (pause * 2).min(RETRY_PAUSE_MAX);
                 }
@@ -252,18 +265,28 @@
         }
     }
 
-    /// Asks a server that was not reached for [`BACKGROUND_TIMEOUT`] more.
-    async fn run_in_background(&self) -> RunEnd {
-        let deadline = Instant::now() + BACKGROUND_TIMEOUT;
-        while Instant::now() < deadline {
-            tokio::time::sleep(BACKGROUND_PAUSE).await;
-            match tokio::time::timeout_at(deadline, self.ask()).await {
-                Ok(Ok(Some(end))) => return end,
-                Ok(Err(ConnectionError::Refused)) => return RunEnd::Gone,
+    fn is_connected(&self) -> bool {
+        self.is_connected.load(Ordering::Relaxed)
+    }
+
+    /// Asks the server further after an end that proves nothing, while the next attempt is under way.
+    /// Returns the last end that the server stated.
+    async fn run_in_background(&self, mut end: RunEnd) -> RunEnd {
+        let began_at = Instant::now();
+        let mut pause = BACKGROUND_PAUSE_MIN;
+        loop {
+            if began_at.elapsed() >= BACKGROUND_TIMEOUT {
+                return end;
+            }
+            tokio::time::sleep(pause).await;
+            pause = (pause * 2).min(BACKGROUND_PAUSE_MAX);
+            match tokio::time::timeout_at(began_at + BACKGROUND_TIMEOUT, self.ask()).await {
+                Ok(Ok(Some(stated))) if self.is_proof(&stated) => return stated,
+                Ok(Ok(Some(stated))) => end = stated,
+                Ok(Err(ConnectionError::Refused)) => end = RunEnd::Refused,
                 _ => {}
             }
         }
-        RunEnd::Unreachable
     }
 
     /// Asks the server once. Returns the end of the run if the response states it.
--- a/crates/exchange/src/relay/streaming.rs
+++ b/crates/exchange/src/relay/streaming.rs
@@ -452,6 +452,7 @@
     async fn close_stopped(&mut self, forwarding: &mut Forwarding) {
         let is_waiting = forwarding.is_being_stopped();
         forwarding.close_stream();
+        self.record_disconnect(&forwarding.dispatch);
         if !is_waiting {
             self.lose_stream(&forwarding.dispatch, "broken", false)
                 .await;
