Ask on where a server knows no run that had not begun

What servers saw: a request whose connection was reset as it arrived began 0.5 s later, beside the next attempt, and both worked for 1.1 s.

Cause: the stop of a run takes 'no such run' for its end. The stop can be faster than the request: if the server had not begun to respond, the request may still be on its way to it or in its queue. Both this and the refused connection are the absence of a run at one moment taken for its end.

Now 'absent' proves the end only of a run that its server had begun to respond to.

--- a/crates/exchange/src/relay/earlier_run.rs
+++ b/crates/exchange/src/relay/earlier_run.rs
@@ -151,6 +151,7 @@
                     boot: run.boot,
                     address: run.address,
                     is_connected: run.is_connected.clone(),
+                    has_begun: run.has_begun,
                     given_up_at: run.given_up_at,
                 };
                 run.stop = Some(self.spawn_stop(&target, next.address));
--- a/crates/exchange/src/relay/stop.rs
+++ b/crates/exchange/src/relay/stop.rs
@@ -33,6 +33,9 @@
 /// Time for which a server that is not reached is asked further, since it may be reached again while
 /// it still runs the request.
 const BACKGROUND_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time for which a server that knows no such run is asked further if the attempt was lost before the
+/// server had begun to respond. The request may still be on its way, or queued at the server.
+const START_TIMEOUT: Duration = Duration::from_secs(3);
 /// Pause before a server is asked again in the background for the first time.
 const BACKGROUND_PAUSE_MIN: Duration = Duration::from_millis(100);
 /// Longest pause before it is asked again. Pauses double up to this one. Two servers may work on a
@@ -48,7 +51,7 @@
     Moved(Handle),
     /// The server has stopped the run and keeps its memory, which it could not copy.
     Kept(Handle),
-    /// The server knows no such run.
+    /// The server knows no such run. That proves its end only if it had begun.
     Absent,
     /// The connection of the attempt has ended, and the server's address refuses connections. The
     /// process has most likely ended, but the run may go on if it has not.
@@ -78,6 +81,8 @@
     pub(super) address: SocketAddr,
     /// Whether the attempt's own connection is open.
     pub(super) is_connected: Arc<AtomicBool>,
+    /// Whether the server has begun to respond, so that it knows the run.
+    pub(super) has_begun: bool,
     /// When the run was given up.
     pub(super) given_up_at: Time,
 }
@@ -149,6 +154,7 @@
             call: (codec.replicate_call)(&self.meta, to, true),
             replica_name: codec.replica_name,
             is_connected: target.is_connected.clone(),
+            has_begun: target.has_begun,
             partition: self.context.partition.clone(),
             notices: NoticeReporter::new(&self.context, target.server.clone(), target.boot),
         };
@@ -225,6 +231,8 @@
     replica_name: fn(&[u8]) -> Option<wire::Name>,
     /// Whether the attempt's own connection is open.
     is_connected: Arc<AtomicBool>,
+    /// Whether the server has begun to respond.
+    has_begun: bool,
     partition: Arc<Partition>,
     notices: NoticeReporter,
 }
@@ -233,7 +241,8 @@
     /// Returns whether a run that seems to have ended in this way can't go on or begin.
     fn is_proof(&self, end: &RunEnd) -> bool {
         match end {
-            RunEnd::Moved(_) | RunEnd::Kept(_) | RunEnd::Absent => true,
+            RunEnd::Moved(_) | RunEnd::Kept(_) => true,
+            RunEnd::Absent => self.has_begun,
             RunEnd::Refused | RunEnd::Unreachable | RunEnd::Unknown => false,
         }
     }
@@ -275,7 +284,11 @@
         let began_at = Instant::now();
         let mut pause = BACKGROUND_PAUSE_MIN;
         loop {
-            if began_at.elapsed() >= BACKGROUND_TIMEOUT {
+            let timeout = match end {
+                RunEnd::Absent => START_TIMEOUT,
+                _ => BACKGROUND_TIMEOUT,
+            };
+            if began_at.elapsed() >= timeout {
                 return end;
             }
             tokio::time::sleep(pause).await;
