End the stop of a run when its server gets another attempt

What callers would see: a stream that goes on at a server is stopped there in the middle, some hundred milliseconds later.

Cause: a server knows all runs of a request by the same id. The stop of an attempt that was given up goes on in the background for seconds, longer since refused connections and unknown runs prove nothing; if the same server gets the request again meanwhile, the stop ends that run.

Now a stop ends as soon as another attempt of the request is sent to its server. run_at_a_server_at_which_an_earlier_attempt_was_given_up_goes_on fails without that (the stream breaks off) and passes with it.

--- a/crates/exchange/src/relay.rs
+++ b/crates/exchange/src/relay.rs
@@ -81,6 +81,7 @@
 use crate::relay::response::ResponseStream;
 use crate::relay::response::await_first_event;
 use crate::relay::response::read_response;
+use crate::relay::stop::SentTo;
 
 /// Retry-after, in seconds, of a request that was not read to its end before the instance stops. The
 /// load balancer sends the caller's next connection to another instance.
@@ -245,6 +246,8 @@
     /// Whether engines serve the request.
     is_generation: bool,
     attempts: u32,
+    /// The server to which the last attempt was sent.
+    sent_to: watch::Sender<SentTo>,
     progress: Progress,
     replication: Option<Replication>,
     /// The replica that the generation can be resumed from, if the server of an attempt has made
@@ -344,6 +347,7 @@
             earlier_runs: Vec::new(),
             is_generation,
             attempts: 0,
+            sent_to: watch::Sender::default(),
             progress,
             replication: None,
             replica_handle: None,
@@ -447,6 +451,10 @@
 
     fn record_attempt(&mut self, dispatch: &Dispatch) {
         self.attempts += 1;
+        self.sent_to.send_replace(SentTo {
+            attempts: self.attempts,
+            address: Some(dispatch.address),
+        });
         self.last_server = dispatch.server.clone();
         self.log_dispatch(dispatch);
     }
--- a/crates/exchange/src/relay/stop.rs
+++ b/crates/exchange/src/relay/stop.rs
@@ -71,6 +71,15 @@
     is_claimed: Arc<AtomicBool>,
 }
 
+/// The server to which the last attempt of a request was sent.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct SentTo {
+    /// Number of attempts, this one included.
+    pub(super) attempts: u32,
+    /// Address of the server, or `None` before the first attempt.
+    pub(super) address: Option<SocketAddr>,
+}
+
 /// The run that is stopped.
 pub(super) struct Target<'a> {
     /// Name of its server.
@@ -165,10 +174,15 @@
             boot: target.boot,
             given_up_at: target.given_up_at,
         };
+        let reused = reuse(self.sent_to.subscribe(), self.attempts, target.address);
         // The copy that is to be used may be known under the same handle.
         let replica_handle = self.replica_handle.clone();
         tokio::spawn(async move {
-            let end = call.run().await;
+            tokio::pin!(reused);
+            let end = tokio::select! {
+                end = call.run() => end,
+                () = &mut reused => RunEnd::Unknown,
+            };
             sender.send_replace(Some(end.clone()));
             let handle = match call.is_proof(&end) || end == RunEnd::Unknown {
                 true => {
@@ -176,7 +190,10 @@
                     end.handle().cloned()
                 }
                 false => {
-                    let late_end = call.run_in_background(end).await;
+                    let late_end = tokio::select! {
+                        end = call.run_in_background(end) => end,
+                        () = reused => RunEnd::Unknown,
+                    };
                     late.log(&late_end);
                     late_end.handle().cloned()
                 }
@@ -195,6 +212,17 @@
     }
 }
 
+/// Waits until another attempt is sent to the server of a run, which knows both by the same id.
+/// `attempts` is the number of attempts that had been sent when the run was given up.
+async fn reuse(mut sent_to: watch::Receiver<SentTo>, attempts: u32, address: SocketAddr) {
+    let is_reused =
+        |sent_to: &SentTo| sent_to.attempts > attempts && sent_to.address == Some(address);
+    if sent_to.wait_for(is_reused).await.is_err() {
+        // The request has ended.
+        std::future::pending::<()>().await;
+    }
+}
+
 /// Reports what became of a run after the next attempt was sent without proof of its end.
 struct LateEnd {
     context: Arc<RelayContext>,
