Leave silent streams at servers that may not be given work again

Callers lost the rest of a stream whose server was sound, had begun to leave and paused for some two seconds. After 1.5 s the run was stopped and its memory copied; the server of the copy then refused it, and the rest may not be sent to a server that leaves. The cause: a run was stopped without a look at whether its own server could take it back.

A silent run is now stopped only while its server may be given work: it is listed, not leaving by the list or its own statement, not drained, its data centre is in service and it wants requests. Otherwise the stream stays, a log line says so, and the copy is used when the connection ends. Nothing is given up before there is a way back, so a refused copy costs nothing.

The stream of a leaving server that ends goes on from its copy as before (silent_stream_of_a_leaving_server_that_ends_goes_on_from_its_copy).

--- a/crates/core/src/lifecycle.rs
+++ b/crates/core/src/lifecycle.rs
@@ -318,7 +318,12 @@
     }
 
     /// Returns whether a given boot of a server may be given new work now.
-    fn boot_may_take_work(&self, data_centre: &str, server: &str, boot: wire::BootId) -> bool {
+    pub(crate) fn boot_may_take_work(
+        &self,
+        data_centre: &str,
+        server: &str,
+        boot: wire::BootId,
+    ) -> bool {
         self.is_in_service(data_centre, server)
             && !self.coordinator.is_leaving_boot(server, boot)
             && self.backoffs.until(self.now, server).is_none()
--- a/crates/core/src/silence.rs
+++ b/crates/core/src/silence.rs
@@ -6,6 +6,11 @@
 //! generation's memory, and the silent attempt stays open until the server of the copy has begun to
 //! answer. If its own server speaks first, or the other attempt is refused, it goes on as if nothing
 //! had happened. Silence never counts as a crash of the server under the request.
+//!
+//! The silent server is asked to stop its run before the other one gets the request, and if the
+//! copy is refused after that, the rest of the stream has to be sent back to it. An attempt is
+//! therefore only replaced while its own server may be given work. Otherwise, above all if the
+//! server is leaving, it stays there, and the copy is used when its connection ends.
 
 use wire::RequestId;
 use wire::admission::End;
@@ -21,7 +26,7 @@
 impl Instance {
     /// Starts to go on from the copy of a silent attempt's memory, if there is one.
     pub(crate) fn on_silent(&mut self, id: RequestId, silence: u32) {
-        let Some(job) = self.jobs.get_mut(&id) else {
+        let Some(job) = self.jobs.get(&id) else {
             return;
         };
         let Some(running) = job.running().cloned() else {
@@ -30,6 +35,17 @@
         if job.silent.is_some() || running.replica.is_none() {
             return;
         }
+        if !self.may_take_back(&running) {
+            let text = format!(
+                "Request {id} stays at its silent server {}, which may not be given work again.",
+                running.server
+            );
+            self.log("silence", false, text);
+            return;
+        }
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
         let text = format!(
             "Request {id}: server {} is silent, trying its copy.",
             running.server
@@ -41,6 +57,12 @@
         }
     }
 
+    /// Returns whether the rest of an attempt may be sent to its own server after the run has been
+    /// stopped there.
+    fn may_take_back(&self, running: &Running) -> bool {
+        self.boot_may_take_work(&running.data_centre, &running.server, running.boot)
+    }
+
     /// Handles an event of a silent attempt while another attempt is tried in its place. Returns
     /// whether the event is to be handled like that of any running attempt.
     pub(crate) fn on_event_of_silent(&mut self, id: RequestId, event: &Event) -> bool {
