Go on at the own server of a stopped run whose copy is refused

What callers saw: a stream broke off, its run was stopped and its memory copied, the copy's server refused it for want of room, and the stream was lost, although its own server was sound and kept the memory.

Cause: the memory that a stop leaves at its own server was only used for silent runs.

--- a/crates/exchange/src/relay/earlier_run.rs
+++ b/crates/exchange/src/relay/earlier_run.rs
@@ -71,6 +71,12 @@
         self.is_silent
     }
 
+    /// Returns whether the run is that of an attempt and was stopped by its server, which keeps its
+    /// memory.
+    pub(super) fn is_stopped_run_of(&self, dispatch: &Dispatch) -> bool {
+        self.attempt == dispatch.attempt && self.known_end().handle().is_some()
+    }
+
     /// Returns what is known of the end of the run.
     pub(super) fn known_end(&self) -> RunEnd {
         self.end().unwrap_or(RunEnd::Unknown)
--- a/crates/exchange/src/relay/streaming.rs
+++ b/crates/exchange/src/relay/streaming.rs
@@ -543,6 +543,10 @@
                 if end.is_some_and(|end| end.handle().is_some()) {
                     forwarding.close_stream();
                     forwarding.stopped = silent;
+                } else if silent.is_none() {
+                    let is_stopped = |run: &EarlierRun| run.is_stopped_run_of(&forwarding.dispatch);
+                    let stopped = ended.iter().position(is_stopped);
+                    forwarding.stopped = stopped.map(|index| ended.swap_remove(index));
                 } else if silent.is_some() && forwarding.stream.is_none() {
                     self.lose_stream(&forwarding.dispatch, "broken", crashed)
                         .await;
@@ -596,37 +600,51 @@
             | AttemptResult::ServerError(..) => {
                 self.lose_stream(&dispatch, "no-stream", false).await;
             }
+            AttemptResult::NotExecuted | AttemptResult::Unreachable
+                if forwarding.silence.is_none() && forwarding.stopped.is_some() =>
+            {
+                let replica = self.take_stopped_memory(forwarding);
+                self.report_attempt(&dispatch, AttemptResult::NotSent(replica))
+                    .await;
+                return;
+            }
             other => self.report_attempt(&dispatch, other).await,
         }
-        self.resume_stopped(forwarding).await;
+        if forwarding.silence.is_some() {
+            self.resume_stopped(forwarding).await;
+        }
     }
 
     /// Lets a silent attempt whose run was stopped go on from its memory at its own server, since the
     /// attempt in its place has failed.
     async fn resume_stopped(&mut self, forwarding: &mut Forwarding) {
-        let Some(run) = forwarding.stopped.take() else {
-            return;
-        };
-        let Some(handle) = run.known_end().handle().cloned() else {
+        let Some(replica) = self.take_stopped_memory(forwarding) else {
             return;
         };
+        let dispatch = &forwarding.dispatch;
+        self.send_event(dispatch, Event::Copied(replica)).await;
+        self.log_failed_attempt(dispatch, "stopped");
+        let event = self.lost_event(false);
+        self.send_event(dispatch, event).await;
+    }
+
+    /// Returns the memory of the stopped run, which its own server keeps, and keeps it from being
+    /// released before the end of the request.
+    fn take_stopped_memory(&mut self, forwarding: &mut Forwarding) -> Option<Replica> {
+        let run = forwarding.stopped.take()?;
+        let handle = run.known_end().handle().cloned()?;
         run.claim(&handle);
         let dispatch = &forwarding.dispatch;
-        let replica = Replica {
+        self.replica_handle = Some(handle.clone());
+        self.replica_source = Some((dispatch.server.clone(), dispatch.boot));
+        Some(Replica {
             endpoint: Endpoint {
                 server: dispatch.server.clone(),
                 address: dispatch.address,
                 boot: dispatch.boot,
             },
-            handle: Some(handle.clone()),
-        };
-        // Releases the memory at the end if it is not used.
-        self.replica_handle = Some(handle);
-        self.replica_source = Some((dispatch.server.clone(), dispatch.boot));
-        self.send_event(dispatch, Event::Copied(replica)).await;
-        self.log_failed_attempt(dispatch, "stopped");
-        let event = self.lost_event(false);
-        self.send_event(dispatch, event).await;
+            handle: Some(handle),
+        })
     }
 
     /// Reports to the decider that the stream of an attempt was lost.
