Stop the runs that don't serve the caller, and none that does

Now a run counts as begun by an event; an open connection outweighs a 404; a stop goes on until the request ends, and ends itself where its server serves the caller again; and the runs in place of a silent one are stopped as soon as that speaks.

--- a/crates/exchange/src/relay.rs
+++ b/crates/exchange/src/relay.rs
@@ -81,7 +81,7 @@
 use crate::relay::response::ResponseStream;
 use crate::relay::response::await_first_event;
 use crate::relay::response::read_response;
-use crate::relay::stop::SentTo;
+use crate::relay::stop::InUse;
 
 /// Retry-after, in seconds, of a request that was not read to its end before the instance stops. The
 /// load balancer sends the caller's next connection to another instance.
@@ -246,8 +246,8 @@
     /// Whether engines serve the request.
     is_generation: bool,
     attempts: u32,
-    /// The server to which the last attempt was sent.
-    sent_to: watch::Sender<SentTo>,
+    /// The server whose run may serve the caller.
+    in_use: watch::Sender<InUse>,
     progress: Progress,
     replication: Option<Replication>,
     /// The replica that the generation can be resumed from, if the server of an attempt has made
@@ -347,7 +347,7 @@
             earlier_runs: Vec::new(),
             is_generation,
             attempts: 0,
-            sent_to: watch::Sender::default(),
+            in_use: watch::Sender::default(),
             progress,
             replication: None,
             replica_handle: None,
@@ -400,7 +400,7 @@
     /// ended the attempt; the command is then pending.
     async fn attempt_until_command(&mut self, dispatch: &mut Dispatch) -> Option<AttemptResult> {
         let mut ended = Vec::new();
-        if let Some(stopping) = self.stop_earlier_runs(None, dispatch) {
+        if let Some(stopping) = self.stop_earlier_runs(dispatch) {
             let replica = dispatch.resume_from.clone();
             self.run_until_command(dispatch.attempt, stopping).await?;
             match self.take_endings(dispatch) {
@@ -451,10 +451,7 @@
 
     fn record_attempt(&mut self, dispatch: &Dispatch) {
         self.attempts += 1;
-        self.sent_to.send_replace(SentTo {
-            attempts: self.attempts,
-            address: Some(dispatch.address),
-        });
+        self.use_run_at(dispatch.address);
         self.last_server = dispatch.server.clone();
         self.log_dispatch(dispatch);
     }
@@ -564,7 +561,6 @@
 
     /// Reports to the decider that an attempt produced no response for the caller.
     async fn report_attempt(&mut self, dispatch: &Dispatch, result: AttemptResult) {
-        let has_begun = matches!(result, AttemptResult::Incomplete | AttemptResult::NoStream);
         let (event, result) = match result {
             AttemptResult::Unreachable => (Event::Unreachable, "unreachable"),
             AttemptResult::NotExecuted => (Event::Refused, "not-run"),
@@ -580,7 +576,7 @@
             _ => (self.lost_event(true), "broken"),
         };
         if matches!(event, Event::Lost { .. }) {
-            self.give_up_run(dispatch, has_begun);
+            self.give_up_run(dispatch, false);
         }
         self.log_failed_attempt(dispatch, result);
         self.send_event(dispatch, event).await;
--- a/crates/exchange/src/relay/earlier_run.rs
+++ b/crates/exchange/src/relay/earlier_run.rs
@@ -35,7 +35,7 @@
     boot: BootId,
     address: SocketAddr,
     given_up_at: Time,
-    /// Whether the server has begun to respond, so that it knows the run.
+    /// Whether an event of the run has arrived, so that its server knows it.
     has_begun: bool,
     /// Whether the attempt is silent. Its connection was open when the run was stopped.
     is_silent: bool,
@@ -99,11 +99,16 @@
 
 impl Relay {
     /// Records that an attempt is given up while its server may still run the request. `has_begun`
-    /// tells whether the server has begun to respond.
+    /// tells whether one of its events has arrived.
     pub(super) fn give_up_run(&mut self, dispatch: &Dispatch, has_begun: bool) {
         self.record_earlier_run(dispatch, false, has_begun);
     }
 
+    /// Records that the run of a silent attempt, whose connection is open, is to be stopped.
+    pub(super) fn give_up_silent_run(&mut self, dispatch: &Dispatch, has_begun: bool) {
+        self.record_earlier_run(dispatch, true, has_begun);
+    }
+
     fn record_earlier_run(&mut self, dispatch: &Dispatch, is_silent: bool, has_begun: bool) {
         if dispatch.hands_over || !self.is_generation {
             return;
@@ -138,16 +143,12 @@
         }
     }
 
-    /// Starts to stop the runs before an attempt, that of a silent server included. Returns a future
-    /// that waits for their ends for a limited time, or `None` if there are none.
+    /// Starts to stop the runs before an attempt. Returns a future that waits for their ends for a
+    /// limited time, or `None` if there are none.
     pub(super) fn stop_earlier_runs(
         &mut self,
-        silent: Option<&Dispatch>,
         next: &Dispatch,
     ) -> Option<impl Future<Output = ()> + Send + 'static> {
-        if let Some(dispatch) = silent {
-            self.record_earlier_run(dispatch, true, true);
-        }
         let mut runs = std::mem::take(&mut self.earlier_runs);
         let mut ends = Vec::new();
         for run in runs.iter_mut().filter(|run| is_elsewhere(run, next)) {
@@ -178,11 +179,12 @@
         })
     }
 
-    /// Starts to stop a run that is given up in favour of another one.
-    pub(super) fn stop_run_for(&mut self, dispatch: &Dispatch, other: &Dispatch) {
-        self.give_up_run(dispatch, false);
-        // The attempt that was preferred need not wait for it.
-        drop(self.stop_earlier_runs(None, other));
+    /// Starts to stop the runs that were to replace that of an attempt which goes on. They may have begun,
+    /// or begin late.
+    pub(super) fn stop_other_runs(&mut self, dispatch: &Dispatch) {
+        self.use_run_at(dispatch.address);
+        // The attempt goes on and need not wait for them.
+        drop(self.stop_earlier_runs(dispatch));
     }
 
     /// Returns how the runs before an attempt have ended, and forgets them if all have. An attempt that
--- a/crates/exchange/src/relay/stop.rs
+++ b/crates/exchange/src/relay/stop.rs
@@ -30,12 +30,10 @@
 const RETRY_PAUSE_MIN: Duration = Duration::from_millis(50);
 /// Longest pause before it is asked again. Pauses double up to this one.
 const RETRY_PAUSE_MAX: Duration = Duration::from_millis(400);
-/// Time for which a server that is not reached is asked further, since it may be reached again while
-/// it still runs the request.
+/// Time for which a server is asked further in the background if its request has no deadline.
 const BACKGROUND_TIMEOUT: Duration = Duration::from_secs(10);
-/// Time for which a server that knows no such run is asked further if the attempt was lost before the
-/// server had begun to respond. The request may still be on its way, or queued at the server.
-const START_TIMEOUT: Duration = Duration::from_secs(3);
+/// Longest time for which one call in the background waits for its response.
+const BACKGROUND_CALL_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Pause before a server is asked again in the background for the first time.
 const BACKGROUND_PAUSE_MIN: Duration = Duration::from_millis(100);
 /// Longest pause before it is asked again. Pauses double up to this one. Two servers may work on a
@@ -51,7 +49,8 @@
     Moved(Handle),
     /// The server has stopped the run and keeps its memory, which it could not copy.
     Kept(Handle),
-    /// The server knows no such run. That proves its end only if it had begun.
+    /// The server knows no such run. That proves its end only if it had begun and its connection has
+    /// ended.
     Absent,
     /// The connection of the attempt has ended, and the server's address refuses connections. The
     /// process has most likely ended, but the run may go on if it has not.
@@ -71,13 +70,13 @@
     is_claimed: Arc<AtomicBool>,
 }
 
-/// The server to which the last attempt of a request was sent.
+/// The server whose run of a request may serve the caller.
 #[derive(Clone, Copy, Debug, Default)]
-pub(super) struct SentTo {
-    /// Number of attempts, this one included.
-    pub(super) attempts: u32,
+pub(super) struct InUse {
+    /// Number of times that it was chosen.
+    number: u32,
     /// Address of the server, or `None` before the first attempt.
-    pub(super) address: Option<SocketAddr>,
+    address: Option<SocketAddr>,
 }
 
 /// The run that is stopped.
@@ -90,7 +89,7 @@
     pub(super) address: SocketAddr,
     /// Whether the attempt's own connection is open.
     pub(super) is_connected: Arc<AtomicBool>,
-    /// Whether the server has begun to respond, so that it knows the run.
+    /// Whether an event of the run has arrived, so that its server knows it.
     pub(super) has_begun: bool,
     /// When the run was given up.
     pub(super) given_up_at: Time,
@@ -148,6 +147,15 @@
 }
 
 impl Relay {
+    /// Records that the caller may be served by the run at an address from now on, which ends stops of
+    /// earlier runs there.
+    pub(super) fn use_run_at(&self, address: SocketAddr) {
+        self.in_use.send_modify(|in_use| {
+            in_use.number += 1;
+            in_use.address = Some(address);
+        });
+    }
+
     /// Starts to stop a run of the request. Its memory is copied to the server at `to`.
     pub(super) fn spawn_stop(&self, target: &Target<'_>, to: SocketAddr) -> Stop {
         let (sender, end) = watch::channel(None);
@@ -158,12 +166,17 @@
             is_claimed: is_claimed.clone(),
         };
         let codec = self.context.codec;
+        let in_use = self.in_use.subscribe();
+        let number = in_use.borrow().number;
+        let reused = reuse(in_use.clone(), number, target.address);
         let call = Call {
             address: target.address,
             call: (codec.replicate_call)(&self.meta, to, true),
             replica_name: codec.replica_name,
             is_connected: target.is_connected.clone(),
             has_begun: target.has_begun,
+            in_use,
+            ends_at: Instant::now() + self.time_left(None).unwrap_or(BACKGROUND_TIMEOUT),
             partition: self.context.partition.clone(),
             notices: NoticeReporter::new(&self.context, target.server.clone(), target.boot),
         };
@@ -174,7 +187,6 @@
             boot: target.boot,
             given_up_at: target.given_up_at,
         };
-        let reused = reuse(self.sent_to.subscribe(), self.attempts, target.address);
         // The copy that is to be used may be known under the same handle.
         let replica_handle = self.replica_handle.clone();
         tokio::spawn(async move {
@@ -212,12 +224,11 @@
     }
 }
 
-/// Waits until another attempt is sent to the server of a run, which knows both by the same id.
-/// `attempts` is the number of attempts that had been sent when the run was given up.
-async fn reuse(mut sent_to: watch::Receiver<SentTo>, attempts: u32, address: SocketAddr) {
-    let is_reused =
-        |sent_to: &SentTo| sent_to.attempts > attempts && sent_to.address == Some(address);
-    if sent_to.wait_for(is_reused).await.is_err() {
+/// Waits until the server of a run may serve the caller again. It knows all runs of a request by the
+/// same id. `number` is that of the last choice of a server before the run was given up.
+async fn reuse(mut in_use: watch::Receiver<InUse>, number: u32, address: SocketAddr) {
+    let is_reused = |in_use: &InUse| in_use.number > number && in_use.address == Some(address);
+    if in_use.wait_for(is_reused).await.is_err() {
         // The request has ended.
         std::future::pending::<()>().await;
     }
@@ -259,8 +270,12 @@
     replica_name: fn(&[u8]) -> Option<wire::Name>,
     /// Whether the attempt's own connection is open.
     is_connected: Arc<AtomicBool>,
-    /// Whether the server has begun to respond.
+    /// Whether an event of the run has arrived.
     has_begun: bool,
+    /// Closed when the request has ended.
+    in_use: watch::Receiver<InUse>,
+    /// Deadline of the request.
+    ends_at: Instant,
     partition: Arc<Partition>,
     notices: NoticeReporter,
 }
@@ -270,7 +285,7 @@
     fn is_proof(&self, end: &RunEnd) -> bool {
         match end {
             RunEnd::Moved(_) | RunEnd::Kept(_) => true,
-            RunEnd::Absent => self.has_begun,
+            RunEnd::Absent => self.has_begun && !self.is_connected(),
             RunEnd::Refused | RunEnd::Unreachable | RunEnd::Unknown => false,
         }
     }
@@ -283,6 +298,10 @@
         loop {
             match tokio::time::timeout_at(deadline, self.ask()).await {
                 Err(_) => return RunEnd::Unknown,
+                // A server may not know a run that it has set aside.
+                Ok(Ok(Some(RunEnd::Absent))) if self.is_connected() => {
+                    pause = self.wait(pause).await;
+                }
                 Ok(Ok(Some(end))) => return end,
                 // A process that has ended has closed its connections.
                 Ok(Err(ConnectionError::Refused)) if !self.is_connected() => {
@@ -295,13 +314,18 @@
                     }
                 }
                 Ok(Ok(None) | Err(ConnectionError::Lost | ConnectionError::Refused)) => {
-                    tokio::time::sleep(pause).await;
-                    pause = (pause * 2).min(RETRY_PAUSE_MAX);
+                    pause = self.wait(pause).await;
                 }
             }
         }
     }
 
+    /// Waits before the server is asked again. Returns the next pause.
+    async fn wait(&self, pause: Duration) -> Duration {
+        tokio::time::sleep(pause).await;
+        (pause * 2).min(RETRY_PAUSE_MAX)
+    }
+
     fn is_connected(&self) -> bool {
         self.is_connected.load(Ordering::Relaxed)
     }
@@ -309,27 +333,27 @@
     /// Asks the server further after an end that proves nothing, while the next attempt is under way.
     /// Returns the last end that the server stated.
     async fn run_in_background(&self, mut end: RunEnd) -> RunEnd {
-        let began_at = Instant::now();
         let mut pause = BACKGROUND_PAUSE_MIN;
         loop {
-            let timeout = match end {
-                RunEnd::Absent => START_TIMEOUT,
-                _ => BACKGROUND_TIMEOUT,
-            };
-            if began_at.elapsed() >= timeout {
-                return end;
-            }
             tokio::time::sleep(pause).await;
             pause = (pause * 2).min(BACKGROUND_PAUSE_MAX);
-            match tokio::time::timeout_at(began_at + BACKGROUND_TIMEOUT, self.ask()).await {
+            let is_last = self.has_request_ended();
+            match tokio::time::timeout(BACKGROUND_CALL_TIMEOUT, self.ask()).await {
                 Ok(Ok(Some(stated))) if self.is_proof(&stated) => return stated,
                 Ok(Ok(Some(stated))) => end = stated,
                 Ok(Err(ConnectionError::Refused)) => end = RunEnd::Refused,
                 _ => {}
             }
+            if is_last {
+                return end;
+            }
         }
     }
 
+    fn has_request_ended(&self) -> bool {
+        self.in_use.has_changed().is_err() || Instant::now() >= self.ends_at
+    }
+
     /// Asks the server once. Returns the end of the run if the response states it.
     async fn ask(&self) -> Result<Option<RunEnd>, ConnectionError> {
         if self.partition.cuts(self.address) {
--- a/crates/exchange/src/relay/streaming.rs
+++ b/crates/exchange/src/relay/streaming.rs
@@ -107,7 +107,7 @@
 /// An attempt that was cancelled after it had been sent.
 struct Cancelled {
     dispatch: Dispatch,
-    /// Whether its server has begun to respond.
+    /// Whether one of its events has arrived.
     has_begun: bool,
 }
 
@@ -139,6 +139,11 @@
         }
     }
 
+    /// Returns whether an event of the attempt has arrived.
+    fn has_begun(&self) -> bool {
+        !self.awaits_event
+    }
+
     /// Returns whether an attempt waits for the end of this attempt's run.
     fn is_being_stopped(&self) -> bool {
         let stage = self.successor.as_ref().map(|successor| &successor.stage);
@@ -217,7 +222,7 @@
         self.close_stream();
         Some(Cancelled {
             dispatch: self.dispatch.clone(),
-            has_begun: true,
+            has_begun: self.has_begun(),
         })
     }
 }
@@ -374,8 +379,10 @@
         match command {
             RelayCommand::Dispatch(dispatch) if forwarding.awaits(&dispatch) => {
                 self.replication = None;
-                let silent = forwarding.stream.is_some().then_some(&forwarding.dispatch);
-                let stage = match self.stop_earlier_runs(silent, &dispatch) {
+                if forwarding.stream.is_some() {
+                    self.give_up_silent_run(&forwarding.dispatch, forwarding.has_begun());
+                }
+                let stage = match self.stop_earlier_runs(&dispatch) {
                     Some(stopping) => Stage::Waiting(Box::pin(stopping)),
                     None => self.send_successor(&dispatch, Vec::new()),
                 };
@@ -422,8 +429,7 @@
             // Nothing tells whether the stream was complete before.
             StreamItem::End if forwarding.continuation.is_some() => {
                 forwarding.close_stream();
-                self.lose_stream(&forwarding.dispatch, "no-new-event", false)
-                    .await;
+                self.lose_stream(forwarding, "no-new-event", false).await;
             }
             StreamItem::End => {
                 let event = self.completion_event();
@@ -434,7 +440,7 @@
                 // Closes the connection before the report, so that the server has stopped the
                 // generation when the decider orders the next attempt.
                 forwarding.close_stream();
-                self.lose_stream(&forwarding.dispatch, "broken", true).await;
+                self.lose_stream(forwarding, "broken", true).await;
             }
             StreamItem::Silent => {
                 let silence = forwarding.record_silence();
@@ -454,8 +460,7 @@
         forwarding.close_stream();
         self.record_disconnect(&forwarding.dispatch);
         if !is_waiting {
-            self.lose_stream(&forwarding.dispatch, "broken", false)
-                .await;
+            self.lose_stream(forwarding, "broken", false).await;
         }
     }
 
@@ -469,7 +474,7 @@
         // Within one response, uneven ids are those of its server.
         if forwarding.continuation.is_some() && self.skips_events(&event) {
             forwarding.close_stream();
-            self.lose_stream(&forwarding.dispatch, "gap", false).await;
+            self.lose_stream(forwarding, "gap", false).await;
             return;
         }
         if let Some(continuation) = &mut forwarding.continuation {
@@ -491,8 +496,9 @@
                 if has_id && forwarding.record_progress() {
                     let successor = forwarding.successor.take();
                     if let Some(dispatch) = successor.and_then(Successor::into_sent) {
-                        self.stop_run_for(&dispatch, &forwarding.dispatch);
+                        self.give_up_run(&dispatch, false);
                     }
+                    self.stop_other_runs(&forwarding.dispatch);
                     self.send_event(&forwarding.dispatch, Event::Recovered)
                         .await;
                 }
@@ -509,8 +515,7 @@
     async fn end_if_repeating(&mut self, forwarding: &mut Forwarding) {
         if forwarding.repeated_bytes > REPEATED_BYTES_MAX {
             forwarding.close_stream();
-            self.lose_stream(&forwarding.dispatch, "repeating", false)
-                .await;
+            self.lose_stream(forwarding, "repeating", false).await;
         }
     }
 
@@ -548,8 +553,7 @@
                     let stopped = ended.iter().position(is_stopped);
                     forwarding.stopped = stopped.map(|index| ended.swap_remove(index));
                 } else if silent.is_some() && forwarding.stream.is_none() {
-                    self.lose_stream(&forwarding.dispatch, "broken", crashed)
-                        .await;
+                    self.lose_stream(forwarding, "broken", crashed).await;
                 }
                 let stage = self.send_successor(&dispatch, ended);
                 forwarding.successor = Some(Successor { dispatch, stage });
@@ -567,8 +571,7 @@
                     self.send_event(&forwarding.dispatch, event).await;
                 }
                 if is_closed {
-                    self.lose_stream(&forwarding.dispatch, "broken", false)
-                        .await;
+                    self.lose_stream(forwarding, "broken", false).await;
                 }
             }
         }
@@ -587,7 +590,7 @@
             AttemptResult::EventStream(_, stream) => {
                 self.send_event(&dispatch, Event::Accepted).await;
                 if forwarding.stream.is_some() {
-                    self.give_up_run(&forwarding.dispatch, true);
+                    self.give_up_run(&forwarding.dispatch, forwarding.has_begun());
                 }
                 claim_used(&dispatch, ended.iter().chain(&forwarding.stopped));
                 forwarding.replace(dispatch, stream);
@@ -598,7 +601,8 @@
             AttemptResult::Complete(..)
             | AttemptResult::Partial(..)
             | AttemptResult::ServerError(..) => {
-                self.lose_stream(&dispatch, "no-stream", false).await;
+                self.lose_attempt(&dispatch, false, "no-stream", false)
+                    .await;
             }
             AttemptResult::NotExecuted | AttemptResult::Unreachable
                 if forwarding.silence.is_none() && forwarding.stopped.is_some() =>
@@ -647,10 +651,29 @@
         })
     }
 
-    /// Reports to the decider that the stream of an attempt was lost.
-    async fn lose_stream(&mut self, dispatch: &Dispatch, result: &'static str, crashed: bool) {
+    /// Reports to the decider that the stream of the forwarded attempt was lost.
+    async fn lose_stream(
+        &mut self,
+        forwarding: &mut Forwarding,
+        result: &'static str,
+        crashed: bool,
+    ) {
+        let has_begun = forwarding.has_begun();
+        self.lose_attempt(&forwarding.dispatch, has_begun, result, crashed)
+            .await;
+    }
+
+    /// Reports to the decider that an attempt was lost. `has_begun` tells whether one of its events has
+    /// arrived.
+    async fn lose_attempt(
+        &mut self,
+        dispatch: &Dispatch,
+        has_begun: bool,
+        result: &'static str,
+        crashed: bool,
+    ) {
         self.log_failed_attempt(dispatch, result);
-        self.give_up_run(dispatch, true);
+        self.give_up_run(dispatch, has_begun);
         let event = self.lost_event(crashed);
         self.send_event(dispatch, event).await;
     }
