Stop runs whose request ends without its answer

Servers went on working on streams whose callers had left, or whose time was up. The relay closed the connection to the server, and a server that goes on without a connection finished what it had begun.

Once a request ends without its answer, the relay asks the servers of its attempt in flight, of a successor and of earlier runs that nobody has asked to stop them.

--- a/crates/exchange/src/relay.rs
+++ b/crates/exchange/src/relay.rs
@@ -4,8 +4,10 @@
 //! `body` holds the bodies of requests and responses, `response` reads a server's response,
 //! `streaming` forwards a response to the caller over several attempts, `progress` holds how far that
 //! has come, `replication` keeps a replica of a running generation, `earlier_run` holds runs that were
-//! given up, `stop` stops a run at its server, `notice` reports what servers state about themselves.
+//! given up, `abandoned` stops runs whose request ends without its answer, `stop` stops a run at its
+//! server, `notice` reports what servers state about themselves.
 
+mod abandoned;
 mod body;
 mod earlier_run;
 mod notice;
@@ -66,6 +68,7 @@
 use crate::connection;
 use crate::connection::ConnectionError;
 use crate::listener::BusyGuard;
+use crate::relay::abandoned::RunInFlight;
 pub use crate::relay::body::ResponseBody;
 pub use crate::relay::body::Truncated;
 use crate::relay::body::empty_response;
@@ -242,6 +245,8 @@
     last_server: wire::Name,
     /// Runs that were given up without proof that they have ended.
     earlier_runs: Vec<EarlierRun>,
+    /// Attempts of a generation that were sent and have not ended.
+    runs_in_flight: Vec<RunInFlight>,
     /// Whether engines serve the request.
     is_generation: bool,
     attempts: u32,
@@ -342,6 +347,7 @@
             server_error: None,
             last_server: wire::Name::default(),
             earlier_runs: Vec::new(),
+            runs_in_flight: Vec::new(),
             is_generation,
             attempts: 0,
             progress,
@@ -448,6 +454,7 @@
     fn record_attempt(&mut self, dispatch: &Dispatch) {
         self.attempts += 1;
         self.last_server = dispatch.server.clone();
+        self.record_in_flight(dispatch);
         self.log_dispatch(dispatch);
     }
 
@@ -574,6 +581,7 @@
         if matches!(event, Event::Lost { .. }) {
             self.give_up_run(dispatch, has_begun);
         }
+        self.forget_in_flight(dispatch.attempt);
         self.log_failed_attempt(dispatch, result);
         self.send_event(dispatch, event).await;
     }
@@ -657,6 +665,9 @@
     fn record_end(&mut self, outcome: &'static str, reason: &'static str, status: StatusCode) {
         let now = self.context.clock.now();
         self.release_replica();
+        if outcome != "answered" {
+            self.stop_abandoned_runs();
+        }
         if let Some(busy_guard) = self.busy_guard.take() {
             busy_guard.finish(now);
         }
--- a/crates/exchange/src/relay/earlier_run.rs
+++ b/crates/exchange/src/relay/earlier_run.rs
@@ -71,6 +71,28 @@
         self.end().unwrap_or(RunEnd::Unknown)
     }
 
+    /// Returns whether the run is that of an attempt.
+    pub(super) fn is_of(&self, attempt: AttemptId) -> bool {
+        self.attempt == attempt
+    }
+
+    /// Returns whether the run may go on and its server is not being asked to stop it.
+    pub(super) fn may_go_on(&self) -> bool {
+        matches!(self.end(), None | Some(RunEnd::Unknown)) && !is_stopping(self)
+    }
+
+    /// Returns the run as one to be stopped after a delay.
+    pub(super) fn target(&self, delay: Duration) -> Target<'_> {
+        Target {
+            server: &self.server,
+            boot: self.boot,
+            address: self.address,
+            has_connection: self.is_silent,
+            given_up_at: self.given_up_at,
+            delay,
+        }
+    }
+
     /// Returns the handle of the run's memory if it was copied to a server.
     fn moved_to(&self, server: SocketAddr) -> Option<Handle> {
         self.stop.as_ref().and_then(|stop| stop.moved_to(server))
@@ -97,6 +119,9 @@
         if dispatch.hands_over || !self.is_generation {
             return;
         }
+        if !is_silent {
+            self.forget_in_flight(dispatch.attempt);
+        }
         let is_attempt = |run: &&mut EarlierRun| run.attempt == dispatch.attempt;
         if let Some(run) = self.earlier_runs.iter_mut().find(is_attempt) {
             run.is_silent = is_silent;
@@ -130,15 +155,8 @@
         let mut runs = std::mem::take(&mut self.earlier_runs);
         let mut ends = Vec::new();
         for run in runs.iter_mut().filter(|run| is_elsewhere(run, next)) {
-            if matches!(run.end(), None | Some(RunEnd::Unknown)) && !is_stopping(run) {
-                let target = Target {
-                    server: &run.server,
-                    boot: run.boot,
-                    address: run.address,
-                    has_connection: run.is_silent,
-                    given_up_at: run.given_up_at,
-                };
-                run.stop = Some(self.spawn_stop(&target, next.address));
+            if run.may_go_on() {
+                run.stop = Some(self.spawn_stop(&run.target(Duration::ZERO), next.address));
             }
             ends.extend(run.stop.as_ref().map(Stop::subscribe));
         }
--- a/crates/exchange/src/relay/stop.rs
+++ b/crates/exchange/src/relay/stop.rs
@@ -76,6 +76,8 @@
     pub(super) has_connection: bool,
     /// When the run was given up.
     pub(super) given_up_at: Time,
+    /// Time until the server is asked.
+    pub(super) delay: Duration,
 }
 
 impl RunEnd {
@@ -157,7 +159,9 @@
         };
         // The copy that is to be used may be known under the same handle.
         let replica_handle = self.replica_handle.clone();
+        let delay = target.delay;
         tokio::spawn(async move {
+            tokio::time::sleep(delay).await;
             let end = call.run().await;
             let handle = match &end {
                 RunEnd::Unreachable => {
--- a/crates/exchange/src/relay/streaming.rs
+++ b/crates/exchange/src/relay/streaming.rs
@@ -541,6 +541,7 @@
                 let crashed = end == Some(RunEnd::Unreachable);
                 if end.is_some_and(|end| end.handle().is_some()) {
                     forwarding.close_stream();
+                    self.forget_in_flight(forwarding.dispatch.attempt);
                     forwarding.stopped = silent;
                 } else if silent.is_some() && forwarding.stream.is_none() {
                     self.lose_stream(&forwarding.dispatch, "broken", crashed)
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -54,6 +54,7 @@
     frames_dropped: Family<KindLabel, Counter>,
     violations: Family<KindLabel, Counter>,
     earlier_runs: Family<KindLabel, Counter>,
+    abandoned_runs: Family<KindLabel, Counter>,
     store_calls: Counter,
     config_version: Gauge<i64, AtomicI64>,
     instances_running: Gauge<i64, AtomicI64>,
@@ -87,6 +88,7 @@
             frames_dropped: Family::default(),
             violations: Family::default(),
             earlier_runs: Family::default(),
+            abandoned_runs: Family::default(),
             store_calls: Counter::default(),
             config_version: Gauge::default(),
             instances_running: Gauge::default(),
@@ -168,6 +170,11 @@
             "Runs given up before another server was to run the request, by the proof of their end",
             self.earlier_runs.clone(),
         );
+        registry.register(
+            "abandoned_runs",
+            "Runs whose request ended without its answer, by the proof of their end",
+            self.abandoned_runs.clone(),
+        );
         registry.register(
             "store_calls",
             "Calls sent to the store",
@@ -279,6 +286,12 @@
         self.earlier_runs.get_or_create(&label).inc();
     }
 
+    /// Counts a run whose request has ended without its answer. `end` names the proof that it has ended.
+    pub fn count_abandoned_run(&self, end: &'static str) {
+        let label = KindLabel { kind: end };
+        self.abandoned_runs.get_or_create(&label).inc();
+    }
+
     /// Counts a call to the store.
     pub fn count_store_call(&self) {
         self.store_calls.inc();
