--- a/crates/exchange/src/relay/stop.rs
+++ b/crates/exchange/src/relay/stop.rs
@@ -93,6 +93,8 @@
     pub(super) has_begun: bool,
     /// When the run was given up.
     pub(super) given_up_at: Time,
+    /// Time until the server is asked.
+    pub(super) delay: Duration,
 }
 
 impl RunEnd {
@@ -189,10 +191,15 @@
         };
         // The copy that is to be used may be known under the same handle.
         let replica_handle = self.replica_handle.clone();
+        let delay = target.delay;
         tokio::spawn(async move {
             tokio::pin!(reused);
+            let stopping = async {
+                tokio::time::sleep(delay).await;
+                call.run().await
+            };
             let end = tokio::select! {
-                end = call.run() => end,
+                end = stopping => end,
                 () = &mut reused => RunEnd::Unknown,
             };
             sender.send_replace(Some(end.clone()));
--- a/crates/exchange/src/relay/streaming.rs
+++ b/crates/exchange/src/relay/streaming.rs
@@ -466,6 +466,7 @@
 
     async fn on_event(&mut self, forwarding: &mut Forwarding, event: sse::Event) {
         if std::mem::take(&mut forwarding.awaits_event) {
+            self.record_begun(forwarding.dispatch.attempt);
             self.send_event(&forwarding.dispatch, Event::FirstToken)
                 .await;
         }
@@ -547,6 +548,7 @@
                 let crashed = end == Some(RunEnd::Unreachable);
                 if end.is_some_and(|end| end.handle().is_some()) {
                     forwarding.close_stream();
+                    self.forget_in_flight(forwarding.dispatch.attempt);
                     forwarding.stopped = silent;
                 } else if silent.is_none() {
                     let is_stopped = |run: &EarlierRun| run.is_stopped_run_of(&forwarding.dispatch);
