Ask on for a run after its request has ended

What servers saw: a request whose attempts were all lost within some 100 ms began, or went on, at one of them, where nobody stopped it.

Cause: the background calls ended with the request, after one last call. Now a server is asked on for 3 s after that.

run_that_begins_after_its_request_was_lost_is_stopped failed before and passes.

--- a/crates/exchange/src/relay/stop.rs
+++ b/crates/exchange/src/relay/stop.rs
@@ -32,6 +32,9 @@
 const RETRY_PAUSE_MAX: Duration = Duration::from_millis(400);
 /// Time for which a server is asked further in the background if its request has no deadline.
 const BACKGROUND_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time for which a server is asked further in the background after the request has ended. A run that
+/// nobody waits for may still begin, or go on.
+const ENDED_REQUEST_TIMEOUT: Duration = Duration::from_secs(3);
 /// Longest time for which one call in the background waits for its response.
 const BACKGROUND_CALL_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Pause before a server is asked again in the background for the first time.
@@ -341,10 +344,15 @@
     /// Returns the last end that the server stated.
     async fn run_in_background(&self, mut end: RunEnd) -> RunEnd {
         let mut pause = BACKGROUND_PAUSE_MIN;
+        let mut ends_at = None;
         loop {
             tokio::time::sleep(pause).await;
             pause = (pause * 2).min(BACKGROUND_PAUSE_MAX);
-            let is_last = self.has_request_ended();
+            let now = Instant::now();
+            if self.has_request_ended() {
+                ends_at.get_or_insert(now + ENDED_REQUEST_TIMEOUT);
+            }
+            let is_last = ends_at.is_some_and(|ends_at| now >= ends_at);
             match tokio::time::timeout(BACKGROUND_CALL_TIMEOUT, self.ask()).await {
                 Ok(Ok(Some(stated))) if self.is_proof(&stated) => return stated,
                 Ok(Ok(Some(stated))) => end = stated,
