--- a/crates/exchange/src/relay/replication.rs
+++ b/crates/exchange/src/relay/replication.rs
@@ -64,6 +64,21 @@
     Due,
 }
 
+/// Releases memory at the server that keeps it. If the call fails, the server releases it later by
+/// itself.
+pub(super) async fn release(handle: &Handle, path: &str, notices: Option<&NoticeReporter>) {
+    let releasing = connection::release_replica(handle.source, path);
+    match tokio::time::timeout(REPLICATION_TIMEOUT, releasing).await {
+        Ok(Ok(response)) => {
+            if let Some(notices) = notices {
+                notices.report(&response.into_parts().0).await;
+            }
+        }
+        Ok(Err(error)) => log::debug!("relay: Memory not released: {error:?}."),
+        Err(_) => log::debug!("relay: Memory not released in time."),
+    }
+}
+
 impl Relay {
     /// Starts replication to `endpoint`, in place of a replication that may be running.
     pub(super) fn start_replication(&mut self, dispatch: &Dispatch, endpoint: Endpoint) {
@@ -86,14 +101,7 @@
             .replica_source
             .take()
             .map(|(server, boot)| NoticeReporter::new(&self.context, server, boot));
-        tokio::spawn(async move {
-            let releasing = connection::release_replica(handle.source, path.as_str());
-            // If the call fails, the server releases the replica later by itself.
-            let released = tokio::time::timeout(REPLICATION_TIMEOUT, releasing).await;
-            if let (Ok(Ok(response)), Some(notices)) = (released, notices) {
-                notices.report(&response.into_parts().0).await;
-            }
-        });
+        tokio::spawn(async move { release(&handle, &path, notices.as_ref()).await });
     }
 
     fn spawn_call(&self, dispatch: &Dispatch, endpoint: &Endpoint) -> ReplicationCall {
--- a/crates/exchange/src/relay/stop.rs
+++ b/crates/exchange/src/relay/stop.rs
@@ -19,6 +19,7 @@
 use super::RelayContext;
 use super::millis;
 use super::notice::NoticeReporter;
+use super::replication;
 use crate::codec::ReplicateCall;
 use crate::connection;
 use crate::connection::ConnectionError;
@@ -223,11 +224,7 @@
             let is_used = is_claimed.load(Ordering::Relaxed) || handle == replica_handle;
             if let Some(handle) = handle.filter(|_| !is_used) {
                 let path = (codec.release_path)(&handle);
-                let releasing = connection::release_replica(handle.source, path.as_str());
-                if let Ok(Err(error)) = tokio::time::timeout(STOP_TIMEOUT, releasing).await {
-                    // The server releases the memory later by itself.
-                    log::debug!("relay: Memory of a stopped run not released: {error:?}.");
-                }
+                replication::release(&handle, &path, Some(&call.notices)).await;
             }
         });
         stop
