--- a/crates/exchange/src/relay.rs
+++ b/crates/exchange/src/relay.rs
@@ -1,13 +1,15 @@
 //! Relaying of one request, from its headers to the end of its response.
 //!
 //! A relay makes the attempts that the decider orders and reports their results. Its modules:
-//! `body` holds the bodies of requests and responses, `response` reads a server's response,
-//! `streaming` forwards a response to the caller over several attempts, `progress` holds how far that
-//! has come, `replication` keeps a replica of a running generation, `earlier_run` holds runs that were
-//! given up, `abandoned` stops runs whose request ends without its answer, `stop` stops a run at its
-//! server, `notice` reports what servers state about themselves.
+//! `attempt` sends a request and classifies its response, `body` holds the bodies of requests and
+//! responses, `response` reads a server's response, `streaming` forwards a response to the caller over
+//! several attempts, `progress` holds how far that has come, `replication` keeps a replica of a running
+//! generation, `earlier_run` holds runs that were given up, `abandoned` stops runs whose request ends
+//! without its answer, `stop` stops a run at its server, `notice` reports what servers state about
+//! themselves.
 
 mod abandoned;
+mod attempt;
 mod body;
 mod earlier_run;
 mod notice;
@@ -25,7 +27,6 @@
 use clock::Clock;
 use clock::Time;
 use conf::Config;
-use conf::Delivery;
 use conf::Route;
 use conf::Service;
 use gateway::decider::Decider;
@@ -60,13 +61,9 @@
 use wire::RequestId;
 use xtra::Address;
 
-use crate::codec::AttemptContext;
 use crate::codec::Codec;
 use crate::codec::Rejection;
 use crate::codec::RequestMeta;
-use crate::codec::ResponseKind;
-use crate::connection;
-use crate::connection::ConnectionError;
 use crate::listener::BusyGuard;
 use crate::relay::abandoned::RunInFlight;
 pub use crate::relay::body::ResponseBody;
@@ -76,14 +73,10 @@
 use crate::relay::earlier_run::EarlierRun;
 use crate::relay::earlier_run::Endings;
 use crate::relay::earlier_run::claim_used;
-use crate::relay::notice::NoticeReporter;
 use crate::relay::progress::Progress;
 use crate::relay::replication::Replication;
 use crate::relay::response::AttemptResult;
 use crate::relay::response::ResponseHead;
-use crate::relay::response::ResponseStream;
-use crate::relay::response::await_first_event;
-use crate::relay::response::read_response;
 use crate::relay::stop::InUse;
 
 /// Retry-after, in seconds, of a request that was not read to its end before the instance stops. The
@@ -463,109 +456,6 @@
         self.log_dispatch(dispatch);
     }
 
-    /// Returns the future of an attempt. The future doesn't borrow the relay, so that the relay can
-    /// handle commands meanwhile.
-    fn run_attempt(
-        &self,
-        dispatch: &Dispatch,
-    ) -> impl Future<Output = AttemptResult> + Send + 'static {
-        let request = self.build_request(dispatch);
-        let meta = self.meta.clone();
-        let method = self.parts.method.clone();
-        let classify = match dispatch.hands_over {
-            true => self.context.codec.classify_hand_over,
-            false => self.context.codec.classify,
-        };
-        let is_from_server = !dispatch.hands_over;
-        let notice_fields = self.context.codec.notice_fields;
-        let expects_events = self.route.delivery == Delivery::Stream;
-        let is_resumed = self.progress.events > 0;
-        let is_idempotent = self.route.idempotent;
-        let address = dispatch.address;
-        let is_cut = self.context.partition.cuts(address);
-        let notices = NoticeReporter::new(&self.context, dispatch.server.clone(), dispatch.boot);
-        async move {
-            let request = match request.filter(|_| !is_cut) {
-                Some(request) => request,
-                None => return AttemptResult::Unreachable,
-            };
-            let (guard, response) = match connection::send_request(address, request).await {
-                Ok(exchange) => exchange,
-                Err(ConnectionError::Unreachable | ConnectionError::Refused) => {
-                    return AttemptResult::Unreachable;
-                }
-                Err(ConnectionError::Lost) => return AttemptResult::Lost,
-            };
-            let (parts, body) = response.into_parts();
-            let kind = classify(&meta, &parts);
-            if is_from_server {
-                notices.report_response(&parts, kind).await;
-            }
-            let mut head = ResponseHead::of(&method, &parts);
-            if !is_from_server {
-                for field in notice_fields {
-                    head.headers.remove(*field);
-                }
-            }
-            let kind = match kind {
-                // Once the caller has the beginning of a stream, no status reaches it.
-                ResponseKind::CalledUnexecuted if !is_idempotent && !is_resumed => kind,
-                ResponseKind::CalledUnexecuted if parts.status.is_server_error() => {
-                    ResponseKind::ServerError
-                }
-                ResponseKind::CalledUnexecuted => ResponseKind::Response,
-                kind => kind,
-            };
-            match kind {
-                ResponseKind::NotExecuted | ResponseKind::Misdirected => AttemptResult::NotExecuted,
-                ResponseKind::UnprovenRefusal if is_idempotent => AttemptResult::NotExecuted,
-                ResponseKind::UnprovenRefusal => AttemptResult::Lost,
-                ResponseKind::NoRoom(retry_after) => AttemptResult::NoRoom(retry_after),
-                ResponseKind::Unrelated => AttemptResult::Lost,
-                // The caller would send the request again, and it would run twice.
-                ResponseKind::CalledUnexecuted => AttemptResult::Withheld,
-                ResponseKind::ServerError => read_response(head, body, guard, true).await,
-                ResponseKind::Response if expects_events && head.may_hold_events() => {
-                    if is_resumed {
-                        let stream = ResponseStream::new(&head, body, guard, true);
-                        return AttemptResult::EventStream(head, stream);
-                    }
-                    await_first_event(head, body, guard).await
-                }
-                ResponseKind::Response if is_resumed => AttemptResult::NoStream,
-                ResponseKind::Response => read_response(head, body, guard, false).await,
-            }
-        }
-    }
-
-    fn build_request(&self, dispatch: &Dispatch) -> Option<Request<Full<Bytes>>> {
-        let attempt = AttemptContext {
-            dispatch,
-            time_left: self.time_left(dispatch.ends_at),
-            last_event_id: self.progress.last_event_id,
-        };
-        let path = self.parts.uri.path_and_query()?.as_str();
-        let mut request = Request::builder()
-            .method(self.parts.method.clone())
-            .uri(path)
-            .body(Full::new(self.payload.clone()))
-            .ok()?;
-        let codec = &self.context.codec;
-        *request.headers_mut() = match dispatch.hands_over {
-            true => (codec.hand_over_headers)(&self.parts.headers, &attempt),
-            false => (codec.attempt_headers)(&self.meta, &attempt),
-        };
-        Some(request)
-    }
-
-    /// Returns the time until an attempt must end, by the request's deadline and a limit of the
-    /// attempt's own.
-    fn time_left(&self, ends_at: Option<Time>) -> Option<Duration> {
-        let now = self.context.clock.now();
-        let end = [self.deadline, ends_at].into_iter().flatten().min();
-        end.map(|end| end.saturating_sub(now))
-    }
-
     /// Reports to the decider that an attempt produced no response for the caller.
     async fn report_attempt(&mut self, dispatch: &Dispatch, result: AttemptResult) {
         let (event, result) = match result {
