Log and count attempts that are sent without proof that an earlier run has ended

The report of a stream that ran more than once can't be told from any other stream in the logs: no line says whether a request may run again, and nothing says on what a verdict of "not run" rests.

relay: Sent. and relay: Run given up before. bear `repeats`; relay: Rejected by its server. names the status, the fields and the verdict; wigeon_unproven_attempts_total counts by whether the request may run again. No decision changes.

--- a/crates/exchange/src/codec.rs
+++ b/crates/exchange/src/codec.rs
@@ -105,6 +105,30 @@
     Unrelated,
 }
 
+impl ResponseKind {
+    /// Returns whether the response states, or seems to state, that the request was not run.
+    pub fn is_rejection(self) -> bool {
+        !matches!(
+            self,
+            ResponseKind::Response | ResponseKind::ServerError | ResponseKind::Unrelated
+        )
+    }
+
+    /// Returns the name of the kind in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            ResponseKind::NotExecuted => "not-executed",
+            ResponseKind::NoRoom(_) => "no-room",
+            ResponseKind::UnprovenRefusal => "unproven-refusal",
+            ResponseKind::Misdirected => "misdirected",
+            ResponseKind::Response => "response",
+            ResponseKind::ServerError => "server-error",
+            ResponseKind::CalledUnexecuted => "called-unexecuted",
+            ResponseKind::Unrelated => "unrelated",
+        }
+    }
+}
+
 /// The values of one attempt that are written into the headers for the server.
 #[derive(Clone, Copy, Debug)]
 pub struct AttemptContext<'a> {
--- a/crates/exchange/src/relay.rs
+++ b/crates/exchange/src/relay.rs
@@ -610,6 +610,7 @@
             hands_over = dispatch.hands_over,
             copy = copy,
             resumes = dispatch.resume_from.is_some(),
+            repeats = self.route.idempotent,
             after = self.progress.last_event_id.unwrap_or(0),
             waited_ms = millis(now - self.arrived_at),
             list = dispatch.list.revision,
--- a/crates/exchange/src/relay/attempt.rs
+++ b/crates/exchange/src/relay/attempt.rs
@@ -7,9 +7,12 @@
 use conf::Delivery;
 use http_body_util::Full;
 use hyper::Request;
+use hyper::header::HeaderName;
+use hyper::http::response;
 use wigeon_core::message::Dispatch;
 
 use super::Relay;
+use super::RelayContext;
 use super::notice::NoticeReporter;
 use super::response::AttemptResult;
 use super::response::ResponseHead;
@@ -21,6 +24,9 @@
 use crate::connection;
 use crate::connection::ConnectionError;
 
+/// Most names of header fields of a rejection that are logged.
+const LOGGED_FIELDS_MAX: usize = 16;
+
 impl Relay {
     /// Returns the future of an attempt. The future doesn't borrow the relay, so that the relay can
     /// handle commands meanwhile.
@@ -43,6 +49,8 @@
         let address = dispatch.address;
         let is_cut = self.context.partition.cuts(address);
         let notices = NoticeReporter::new(&self.context, dispatch.server.clone(), dispatch.boot);
+        let context = self.context.clone();
+        let server = dispatch.server.clone();
         async move {
             let request = match request.filter(|_| !is_cut) {
                 Some(request) => request,
@@ -60,6 +68,9 @@
             if is_from_server {
                 notices.report_response(&parts, kind).await;
             }
+            if kind.is_rejection() {
+                log_rejection(&context, &meta.caller_request_id, &server, &parts, kind);
+            }
             let mut head = ResponseHead::of(&method, &parts);
             if !is_from_server {
                 for field in notice_fields {
@@ -125,3 +136,27 @@
         end.map(|end| end.saturating_sub(now))
     }
 }
+
+/// Logs on what the verdict rests that a server has not run a request.
+fn log_rejection(
+    context: &RelayContext,
+    id: &str,
+    server: &str,
+    parts: &response::Parts,
+    kind: ResponseKind,
+) {
+    if !context.log_limiter.allows(context.clock.now(), false) {
+        return;
+    }
+    let names = parts.headers.keys().map(HeaderName::as_str);
+    let mut fields: Vec<&str> = names.take(LOGGED_FIELDS_MAX).collect();
+    fields.sort_unstable();
+    log::info!(
+        id = id,
+        server = server,
+        status = parts.status.as_u16(),
+        verdict = kind.as_str(),
+        fields = fields.join(" ").as_str();
+        "relay: Rejected by its server."
+    );
+}
--- a/crates/exchange/src/relay/earlier_run.rs
+++ b/crates/exchange/src/relay/earlier_run.rs
@@ -82,6 +82,12 @@
         self.end().unwrap_or(RunEnd::Unknown)
     }
 
+    /// Returns whether the run can neither go on nor begin.
+    fn is_proven_ended(&self) -> bool {
+        let is_connected = self.is_connected.load(Ordering::Relaxed);
+        self.known_end().is_proof(self.has_begun, is_connected)
+    }
+
     /// Returns whether the run is that of an attempt.
     pub(super) fn is_of(&self, attempt: AttemptId) -> bool {
         self.attempt == attempt
@@ -226,6 +232,10 @@
                 false => Endings::Unknown,
             };
         }
+        if !before.iter().all(EarlierRun::is_proven_ended) {
+            let metrics = &self.context.metrics;
+            metrics.count_unproven_attempt(self.route.idempotent);
+        }
         let moved = before.iter().find_map(|run| run.moved_to(next.address));
         if let Some(replica) = &mut next.resume_from {
             replica.handle = moved.or(replica.handle.take());
@@ -250,6 +260,7 @@
                 next = next.server.as_str(),
                 proof = proof,
                 begun = run.has_begun,
+                repeats = self.route.idempotent,
                 given_up_ms = millis(now.saturating_sub(run.given_up_at));
                 "relay: Run given up before."
             );
--- a/crates/exchange/src/relay/stop.rs
+++ b/crates/exchange/src/relay/stop.rs
@@ -114,6 +114,17 @@
         }
     }
 
+    /// Returns whether a run that seems to have ended in this way can neither go on nor begin.
+    /// `has_begun` tells whether one of its events has arrived, and `is_connected` whether its
+    /// connection is open.
+    pub(super) fn is_proof(&self, has_begun: bool, is_connected: bool) -> bool {
+        match self {
+            RunEnd::Moved(_) | RunEnd::Kept(_) => true,
+            RunEnd::Absent => has_begun && !is_connected,
+            RunEnd::Refused | RunEnd::Unreachable | RunEnd::Unknown => false,
+        }
+    }
+
     /// Returns the handle of the run's memory, if the server has stopped the run.
     pub(super) fn handle(&self) -> Option<&Handle> {
         match self {
@@ -288,13 +299,9 @@
 }
 
 impl Call {
-    /// Returns whether a run that seems to have ended in this way can't go on or begin.
+    /// Returns whether a run that seems to have ended in this way can neither go on nor begin.
     fn is_proof(&self, end: &RunEnd) -> bool {
-        match end {
-            RunEnd::Moved(_) | RunEnd::Kept(_) => true,
-            RunEnd::Absent => self.has_begun && !self.is_connected(),
-            RunEnd::Refused | RunEnd::Unreachable | RunEnd::Unknown => false,
-        }
+        end.is_proof(self.has_begun, self.is_connected())
     }
 
     /// Asks the server until it states that the run has ended, or until [`STOP_TIMEOUT`] has passed.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -35,6 +35,12 @@
     kind: &'static str,
 }
 
+/// Label that tells whether a request may run again.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct RepeatLabel {
+    repeats: &'static str,
+}
+
 /// All metrics of one instance.
 #[derive(Debug)]
 pub struct Metrics {
@@ -55,6 +61,7 @@
     violations: Family<KindLabel, Counter>,
     earlier_runs: Family<KindLabel, Counter>,
     abandoned_runs: Family<KindLabel, Counter>,
+    unproven_attempts: Family<RepeatLabel, Counter>,
     store_calls: Counter,
     config_version: Gauge<i64, AtomicI64>,
     instances_running: Gauge<i64, AtomicI64>,
@@ -89,6 +96,7 @@
             violations: Family::default(),
             earlier_runs: Family::default(),
             abandoned_runs: Family::default(),
+            unproven_attempts: Family::default(),
             store_calls: Counter::default(),
             config_version: Gauge::default(),
             instances_running: Gauge::default(),
@@ -175,6 +183,11 @@
             "Runs whose request ended without its answer, by the proof of their end",
             self.abandoned_runs.clone(),
         );
+        registry.register(
+            "unproven_attempts",
+            "Attempts that were sent without proof that an earlier run of the request has ended",
+            self.unproven_attempts.clone(),
+        );
         registry.register(
             "store_calls",
             "Calls sent to the store",
@@ -292,6 +305,15 @@
         self.abandoned_runs.get_or_create(&label).inc();
     }
 
+    /// Counts an attempt that is sent without proof that an earlier run of the request has ended.
+    /// `repeats` tells whether the request may run again.
+    pub fn count_unproven_attempt(&self, repeats: bool) {
+        let label = RepeatLabel {
+            repeats: if repeats { "yes" } else { "no" },
+        };
+        self.unproven_attempts.get_or_create(&label).inc();
+    }
+
     /// Counts a call to the store.
     pub fn count_store_call(&self) {
         self.store_calls.inc();
