Send a request that must run once on only after proof that its earlier run can't begin

What callers saw: nothing; the request ran twice. A stream was lost while its prompt was read. Its server knew no run of it yet and answered the stop with 404, refused it, or was not reached; the copy of the memory existed already, the request went on there, and the first server began a run of its own.

Cause: a stop that proves nothing was known to prove nothing, and the next attempt was sent all the same, with the first server asked on in the background. That bounds the time for which two servers work, and not the number of times that a request begins.

Now a request that must run once waits while no event of its earlier run has arrived, until the server states that it has stopped the run, or a process that was started later is listed under its name or at its address. Refused connections, a missing entry in the list and an unreachable server are no proof, together either: a data centre that is cut off shows all three. The server is asked on meanwhile; without proof the request ends at its deadline, without the promise that it has not run.

--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use admit::Decision;
@@ -18,6 +19,7 @@
 use slo::Meter;
 use store::Ticket;
 use wire::AttemptId;
+use wire::BootId;
 use wire::InstanceId;
 use wire::Name;
 use wire::RequestId;
@@ -273,6 +275,16 @@
         self.settings.entry.id
     }
 
+    /// Returns whether the list of backend servers shows that a boot of a server has ended: a process
+    /// that was started later has its name or its address. A process that is not listed may run all the
+    /// same, for example without a path to the store.
+    pub fn is_replaced(&self, server: &str, boot: BootId, address: SocketAddr) -> bool {
+        // A store that was restored may list processes that had ended before.
+        let is_later = |other: &ListedServer| boot != 0 && other.boot > boot;
+        let mut servers = self.servers.values().filter(|other| is_later(other));
+        servers.any(|other| other.name == server || other.address == address)
+    }
+
     /// Returns the membership entry of an instance, if it is known.
     pub fn entry(&self, id: InstanceId) -> Option<Entry> {
         self.members.entry(id).cloned()
--- a/crates/exchange/src/relay/earlier_run.rs
+++ b/crates/exchange/src/relay/earlier_run.rs
@@ -4,6 +4,11 @@
 //! not prove that the run is over. Before another server runs the request, the server of each run
 //! before is asked to stop it. As long as one of them is reached and has not confirmed that, the next
 //! attempt is not sent.
+//!
+//! A server that has sent no event may have yet to begin: the memory of a prompt is copied before the
+//! run begins, and until then the server knows no run. A request that must run once waits for proof in
+//! that case, in whatever way the server fails to answer, since a run that begins late is a second one.
+//! One that may run again, or has begun, goes on without it, and its server is asked on.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -41,6 +46,8 @@
     is_silent: bool,
     /// Whether the attempt's connection is open.
     is_connected: Arc<AtomicBool>,
+    /// Whether the next attempt waits for proof of the end.
+    is_awaited: bool,
     stop: Option<Stop>,
 }
 
@@ -48,14 +55,14 @@
 pub(super) enum Endings {
     /// All of them have ended, or their servers are not reached.
     Ended(Vec<EarlierRun>),
-    /// Some servers have not answered yet.
+    /// Some servers have not answered yet, or not proved what has to be proved.
     Pending,
     /// A server is reached and does not confirm that its run has ended.
     Unknown,
 }
 
 impl Endings {
-    /// Returns whether a server may still confirm that its run has ended.
+    /// Returns whether the ends of all runs may still be known.
     pub(super) fn is_pending(&self) -> bool {
         matches!(self, Endings::Pending)
     }
@@ -163,6 +170,7 @@
             has_begun,
             is_silent,
             is_connected: Arc::new(AtomicBool::new(is_silent)),
+            is_awaited: false,
             stop: None,
         });
     }
@@ -187,7 +195,16 @@
             if run.may_go_on() {
                 run.stop = Some(self.spawn_stop(&run.target(Duration::ZERO), next.address));
             }
-            ends.extend(run.stop.as_ref().map(Stop::subscribe));
+            let needs_proof = self.needs_proof(run);
+            let (has_begun, is_connected) = (run.has_begun, run.is_connected.clone());
+            let is_enough = move |end: &Option<RunEnd>| match end {
+                None => false,
+                Some(RunEnd::Unknown) => true,
+                Some(end) => {
+                    !needs_proof || end.is_proof(has_begun, is_connected.load(Ordering::Relaxed))
+                }
+            };
+            ends.extend(run.stop.as_ref().map(|stop| (stop.subscribe(), is_enough)));
         }
         self.earlier_runs = runs;
         if ends.is_empty() {
@@ -195,8 +212,8 @@
         }
         let deadline = Instant::now() + WAIT_MAX;
         Some(async move {
-            for mut end in ends {
-                let ended = end.wait_for(Option::is_some);
+            for (mut end, is_enough) in ends {
+                let ended = end.wait_for(is_enough);
                 // The result is read from the run.
                 let _ = tokio::time::timeout_at(deadline, ended).await;
             }
@@ -220,12 +237,16 @@
         let (before, others): (Vec<EarlierRun>, _) =
             runs.into_iter().partition(|run| is_elsewhere(run, next));
         self.earlier_runs = others;
-        let is_pending = before.iter().any(|run| run.end().is_none());
+        let is_open = |run: &EarlierRun| run.end().is_none() || self.lacks_proof(run);
+        let is_pending = before.iter().any(is_open);
         if !is_pending {
             before.iter().for_each(|run| self.log_ending(next, run));
         }
         let is_unknown = |run: &EarlierRun| run.known_end() == RunEnd::Unknown;
-        if before.iter().any(is_unknown) {
+        if is_pending || before.iter().any(is_unknown) {
+            let mut before = before;
+            let awaited = before.iter_mut().filter(|run| self.lacks_proof(run));
+            awaited.for_each(|run| self.record_awaited(run));
             self.earlier_runs.extend(before);
             return match is_pending {
                 true => Endings::Pending,
@@ -243,6 +264,36 @@
         Endings::Ended(before)
     }
 
+    /// Returns whether no other server may have the request before the run is proved to have ended.
+    fn needs_proof(&self, run: &EarlierRun) -> bool {
+        !self.route.idempotent && !run.has_begun
+    }
+
+    /// Returns whether a run has to be proved to have ended, and what is known of it is no proof.
+    fn lacks_proof(&self, run: &EarlierRun) -> bool {
+        let is_stated = !matches!(run.end(), None | Some(RunEnd::Unknown));
+        is_stated && self.needs_proof(run) && !run.is_proven_ended()
+    }
+
+    /// Records that the next attempt waits for proof that a run has ended.
+    fn record_awaited(&self, run: &mut EarlierRun) {
+        if std::mem::replace(&mut run.is_awaited, true) {
+            return;
+        }
+        self.context.metrics.count_earlier_run("awaited");
+        let now = self.context.clock.now();
+        if self.context.log_limiter.allows(now, false) {
+            log::info!(
+                id = self.meta.caller_request_id.as_str(),
+                server = run.server.as_str(),
+                life = run.boot,
+                proof = run.known_end().as_str(),
+                given_up_ms = millis(now.saturating_sub(run.given_up_at));
+                "relay: Waits for proof that a run has ended."
+            );
+        }
+    }
+
     /// Returns whether the run of a silent attempt may still go on.
     pub(super) fn has_silent_run(&self) -> bool {
         self.earlier_runs.iter().any(EarlierRun::is_silent)
--- a/crates/exchange/src/relay/stop.rs
+++ b/crates/exchange/src/relay/stop.rs
@@ -8,12 +8,15 @@
 
 use clock::Time;
 use compact_str::CompactString;
+use gateway::decider::Decider;
+use gateway::decider::FindSuccessor;
 use gateway::partition::Partition;
 use hyper::StatusCode;
 use tokio::sync::watch;
 use tokio::time::Instant;
 use wigeon_core::Handle;
 use wire::BootId;
+use xtra::Address;
 
 use super::Relay;
 use super::RelayContext;
@@ -59,6 +62,8 @@
     /// The connection of the attempt has ended, and the server's address refuses connections. The
     /// process has most likely ended, but the run may go on if it has not.
     Refused,
+    /// The server's process has ended: another one has taken its name or address.
+    Replaced,
     /// No connection to the server can be established.
     Unreachable,
     /// The server is reached and has not confirmed the end of the run.
@@ -109,6 +114,7 @@
             RunEnd::Kept(_) => "kept",
             RunEnd::Absent => "absent",
             RunEnd::Refused => "refused",
+            RunEnd::Replaced => "replaced",
             RunEnd::Unreachable => "unreachable",
             RunEnd::Unknown => "unknown",
         }
@@ -119,7 +125,7 @@
     /// connection is open.
     pub(super) fn is_proof(&self, has_begun: bool, is_connected: bool) -> bool {
         match self {
-            RunEnd::Moved(_) | RunEnd::Kept(_) => true,
+            RunEnd::Moved(_) | RunEnd::Kept(_) | RunEnd::Replaced => true,
             RunEnd::Absent => has_begun && !is_connected,
             RunEnd::Refused | RunEnd::Unreachable | RunEnd::Unknown => false,
         }
@@ -129,7 +135,11 @@
     pub(super) fn handle(&self) -> Option<&Handle> {
         match self {
             RunEnd::Moved(handle) | RunEnd::Kept(handle) => Some(handle),
-            RunEnd::Absent | RunEnd::Refused | RunEnd::Unreachable | RunEnd::Unknown => None,
+            RunEnd::Absent
+            | RunEnd::Refused
+            | RunEnd::Replaced
+            | RunEnd::Unreachable
+            | RunEnd::Unknown => None,
         }
     }
 }
@@ -195,6 +205,12 @@
             in_use,
             ends_at: Instant::now() + self.time_left(None).unwrap_or(BACKGROUND_TIMEOUT),
             partition: self.context.partition.clone(),
+            process: FindSuccessor {
+                server: target.server.clone(),
+                boot: target.boot,
+                address: target.address,
+            },
+            decider: self.context.decider.clone(),
             notices: NoticeReporter::new(&self.context, target.server.clone(), target.boot),
         };
         let late = LateEnd {
@@ -218,20 +234,23 @@
                 () = &mut reused => RunEnd::Unknown,
             };
             sender.send_replace(Some(end.clone()));
-            let handle = match call.is_proof(&end) || end == RunEnd::Unknown {
-                true => {
-                    sender.closed().await;
-                    end.handle().cloned()
-                }
+            let end = match call.is_proof(&end) || end == RunEnd::Unknown {
+                true => end,
                 false => {
                     let late_end = tokio::select! {
                         end = call.run_in_background(end) => end,
                         () = reused => RunEnd::Unknown,
                     };
                     late.log(&late_end);
-                    late_end.handle().cloned()
+                    if call.is_proof(&late_end) {
+                        // An attempt may wait for the proof.
+                        sender.send_replace(Some(late_end.clone()));
+                    }
+                    late_end
                 }
             };
+            sender.closed().await;
+            let handle = end.handle().cloned();
             let is_used = is_claimed.load(Ordering::Relaxed) || handle == replica_handle;
             if let Some(handle) = handle.filter(|_| !is_used) {
                 let path = (codec.release_path)(&handle);
@@ -295,6 +314,9 @@
     /// Deadline of the request.
     ends_at: Instant,
     partition: Arc<Partition>,
+    /// The process that runs the request.
+    process: FindSuccessor,
+    decider: Address<Decider>,
     notices: NoticeReporter,
 }
 
@@ -361,14 +383,25 @@
                 Ok(Ok(Some(stated))) if self.is_proof(&stated) => return stated,
                 Ok(Ok(Some(stated))) => end = stated,
                 Ok(Err(ConnectionError::Refused)) => end = RunEnd::Refused,
+                Ok(Err(ConnectionError::Unreachable)) => end = RunEnd::Unreachable,
                 _ => {}
             }
+            if self.is_replaced().await {
+                return RunEnd::Replaced;
+            }
             if is_last {
                 return end;
             }
         }
     }
 
+    /// Returns whether another process has taken the place of the server's.
+    async fn is_replaced(&self) -> bool {
+        // A decider that has stopped knows nothing.
+        let answer = self.decider.send(self.process.clone()).await;
+        answer.unwrap_or(false)
+    }
+
     fn has_request_ended(&self) -> bool {
         self.in_use.has_changed().is_err() || Instant::now() >= self.ends_at
     }
--- a/crates/gateway/src/decider.rs
+++ b/crates/gateway/src/decider.rs
@@ -24,6 +24,7 @@
 use wigeon_core::message::CommandReply;
 use wigeon_core::message::Dispatch;
 use wire::AttemptId;
+use wire::BootId;
 use wire::InstanceId;
 use wire::Name;
 use wire::RequestId;
@@ -372,6 +373,30 @@
     }
 }
 
+/// Looks up whether the list of backend servers shows that a boot of a server has ended.
+#[derive(Clone, Debug)]
+pub struct FindSuccessor {
+    /// Name of the server.
+    pub server: Name,
+    /// Boot of the server.
+    pub boot: BootId,
+    /// Address of the server.
+    pub address: SocketAddr,
+}
+
+impl Handler<FindSuccessor> for Decider {
+    type Return = bool;
+
+    async fn handle(&mut self, process: FindSuccessor, _: &mut Context<Decider>) -> bool {
+        let FindSuccessor {
+            server,
+            boot,
+            address,
+        } = process;
+        self.instance.is_replaced(&server, boot, address)
+    }
+}
+
 /// Lists the entries of all other running instances.
 #[derive(Debug)]
 pub struct ListOthers;
