Log the wait for proof once, with the server that waits

The line that says that it waits names the next server now, and the postponements after it are not logged.

--- a/crates/exchange/src/relay.rs
+++ b/crates/exchange/src/relay.rs
@@ -476,7 +476,11 @@
             self.give_up_run(dispatch, false);
         }
         self.forget_in_flight(dispatch.attempt);
-        self.log_failed_attempt(dispatch, result);
+        let is_postponed = matches!(event, Event::Postponed { .. });
+        // An attempt that waits for proof is postponed twice a second, and its wait was logged.
+        if !is_postponed || !self.awaits_proof() {
+            self.log_failed_attempt(dispatch, result);
+        }
         self.send_event(dispatch, event).await;
     }
 
--- a/crates/exchange/src/relay/earlier_run.rs
+++ b/crates/exchange/src/relay/earlier_run.rs
@@ -246,7 +246,7 @@
         if is_pending || before.iter().any(is_unknown) {
             let mut before = before;
             let awaited = before.iter_mut().filter(|run| self.lacks_proof(run));
-            awaited.for_each(|run| self.record_awaited(run));
+            awaited.for_each(|run| self.record_awaited(next, run));
             self.earlier_runs.extend(before);
             return match is_pending {
                 true => Endings::Pending,
@@ -275,8 +275,13 @@
         is_stated && self.needs_proof(run) && !run.is_proven_ended()
     }
 
+    /// Returns whether the next attempt waits for proof that a run has ended.
+    pub(super) fn awaits_proof(&self) -> bool {
+        self.earlier_runs.iter().any(|run| run.is_awaited)
+    }
+
     /// Records that the next attempt waits for proof that a run has ended.
-    fn record_awaited(&self, run: &mut EarlierRun) {
+    fn record_awaited(&self, next: &Dispatch, run: &mut EarlierRun) {
         if std::mem::replace(&mut run.is_awaited, true) {
             return;
         }
@@ -287,6 +292,7 @@
                 id = self.meta.caller_request_id.as_str(),
                 server = run.server.as_str(),
                 life = run.boot,
+                next = next.server.as_str(),
                 proof = run.known_end().as_str(),
                 given_up_ms = millis(now.saturating_sub(run.given_up_at));
                 "relay: Waits for proof that a run has ended."
