Ask after the run of a request without a deadline until the request ends

What callers saw: a stream that must run once and has no deadline, lost before its run had begun, was never answered, although a later process of its server was listed.

Now an attempt may wait for the proof, and nobody asked for it any more.

The server of a run that an attempt may wait for is asked until the request ends. stream_without_a_deadline_goes_on_after_a_long_wait failed before and passes now.

--- a/crates/exchange/src/relay/stop.rs
+++ b/crates/exchange/src/relay/stop.rs
@@ -34,7 +34,8 @@
 const RETRY_PAUSE_MIN: Duration = Duration::from_millis(50);
 /// Longest pause before it is asked again. Pauses double up to this one.
 const RETRY_PAUSE_MAX: Duration = Duration::from_millis(400);
-/// Time for which a server is asked further in the background if its request has no deadline.
+/// Time for which a server is asked further in the background if its request has no deadline, and no
+/// attempt waits for the answer.
 const BACKGROUND_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time for which a server is asked further in the background after the request has ended. A run that
 /// nobody waits for may still begin, or go on.
@@ -196,6 +197,10 @@
         let in_use = self.in_use.subscribe();
         let number = in_use.borrow().number;
         let reused = reuse(in_use.clone(), number, target.address);
+        let may_wait = !self.route.idempotent && !target.has_begun;
+        let time_left = self
+            .time_left(None)
+            .or((!may_wait).then_some(BACKGROUND_TIMEOUT));
         let call = Call {
             address: target.address,
             call: (codec.replicate_call)(&self.meta, to, true),
@@ -203,7 +208,7 @@
             is_connected: target.is_connected.clone(),
             has_begun: target.has_begun,
             in_use,
-            ends_at: Instant::now() + self.time_left(None).unwrap_or(BACKGROUND_TIMEOUT),
+            ends_at: time_left.map(|left| Instant::now() + left),
             partition: self.context.partition.clone(),
             process: FindSuccessor {
                 server: target.server.clone(),
@@ -311,8 +316,8 @@
     has_begun: bool,
     /// Closed when the request has ended.
     in_use: watch::Receiver<InUse>,
-    /// Deadline of the request.
-    ends_at: Instant,
+    /// When the request counts as ended, or `None` if it has no deadline and an attempt may wait.
+    ends_at: Option<Instant>,
     partition: Arc<Partition>,
     /// The process that runs the request.
     process: FindSuccessor,
@@ -403,7 +408,8 @@
     }
 
     fn has_request_ended(&self) -> bool {
-        self.in_use.has_changed().is_err() || Instant::now() >= self.ends_at
+        let is_over = |ends_at| Instant::now() >= ends_at;
+        self.in_use.has_changed().is_err() || self.ends_at.is_some_and(is_over)
     }
 
     /// Asks the server once. Returns the end of the run if the response states it.
