Take no process for a later one that may have the request itself

What callers saw: nothing; the request ran twice. A server had started again under its name and at its address before the request was sent to it, and the list showed that start only after the request was lost while its prompt was read. The request went on at its copy, and its server began it as well.

Cause: a boot that is later than the one in the list at dispatch was taken for a process that was started after the one which has the request. The list may be late, and the process that accepted the request is the later one.

Now a process proves the end of the ones before it only if it was started after the run was given up, with an allowance for clocks that differ. A server that crashes and starts again within that time proves nothing, and the request waits as before.

--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -275,12 +275,12 @@
         self.settings.entry.id
     }
 
-    /// Returns whether the list of backend servers shows that a boot of a server has ended: a process
-    /// that was started later has its name or its address. A process that is not listed may run all the
-    /// same, for example without a path to the store.
-    pub fn is_replaced(&self, server: &str, boot: BootId, address: SocketAddr) -> bool {
+    /// Returns whether the list of backend servers shows that the boots of a server up to a given one have
+    /// ended: a process that was started later has its name or its address. A process that is not listed
+    /// may run all the same, for example without a path to the store.
+    pub fn is_replaced(&self, server: &str, last_boot: BootId, address: SocketAddr) -> bool {
         // A store that was restored may list processes that had ended before.
-        let is_later = |other: &ListedServer| boot != 0 && other.boot > boot;
+        let is_later = |other: &ListedServer| last_boot != 0 && other.boot > last_boot;
         let mut servers = self.servers.values().filter(|other| is_later(other));
         servers.any(|other| other.name == server || other.address == address)
     }
--- a/crates/exchange/src/relay/stop.rs
+++ b/crates/exchange/src/relay/stop.rs
@@ -47,6 +47,8 @@
 /// Longest pause before it is asked again. Pauses double up to this one. Two servers may work on a
 /// request for no longer than 400 ms.
 const BACKGROUND_PAUSE_MAX: Duration = Duration::from_millis(300);
+/// Most by which the clocks of a server and an instance differ.
+const CLOCK_SKEW_MAX: Duration = Duration::from_secs(1);
 /// Number of connections that can't be established after which a server counts as unreachable.
 const UNREACHABLE_CONNECTIONS: u32 = 3;
 
@@ -63,7 +65,8 @@
     /// The connection of the attempt has ended, and the server's address refuses connections. The
     /// process has most likely ended, but the run may go on if it has not.
     Refused,
-    /// The server's process has ended: another one has taken its name or address.
+    /// The server's process has ended: another one has taken its name or address, which was started after
+    /// the run was given up.
     Replaced,
     /// No connection to the server can be established.
     Unreachable,
@@ -184,6 +187,18 @@
         });
     }
 
+    /// Returns the last boot of a server that may have a run, or zero if none is known. A list that shows
+    /// starts late names an earlier one. Boots are the Unix times of starts in milliseconds.
+    fn last_boot_before(&self, target: &Target<'_>) -> BootId {
+        let clock = &self.context.clock;
+        let since = clock.now().saturating_sub(target.given_up_at);
+        let until = clock.wall().saturating_sub(since) + CLOCK_SKEW_MAX;
+        match target.boot {
+            0 => 0,
+            boot => boot.max(millis(until)),
+        }
+    }
+
     /// Starts to stop a run of the request. Its memory is copied to the server at `to`.
     pub(super) fn spawn_stop(&self, target: &Target<'_>, to: SocketAddr) -> Stop {
         let (sender, end) = watch::channel(None);
@@ -212,7 +227,7 @@
             partition: self.context.partition.clone(),
             process: FindSuccessor {
                 server: target.server.clone(),
-                boot: target.boot,
+                after: self.last_boot_before(target),
                 address: target.address,
             },
             decider: self.context.decider.clone(),
--- a/crates/gateway/src/decider.rs
+++ b/crates/gateway/src/decider.rs
@@ -378,8 +378,8 @@
 pub struct FindSuccessor {
     /// Name of the server.
     pub server: Name,
-    /// Boot of the server.
-    pub boot: BootId,
+    /// The last boot of the server that may be meant, or zero if none is known.
+    pub after: BootId,
     /// Address of the server.
     pub address: SocketAddr,
 }
@@ -390,10 +390,10 @@
     async fn handle(&mut self, process: FindSuccessor, _: &mut Context<Decider>) -> bool {
         let FindSuccessor {
             server,
-            boot,
+            after,
             address,
         } = process;
-        self.instance.is_replaced(&server, boot, address)
+        self.instance.is_replaced(&server, after, address)
     }
 }
 
