--- a/crates/exchange/src/relay/stop.rs
+++ b/crates/exchange/src/relay/stop.rs
@@ -34,7 +34,8 @@
 const RETRY_PAUSE_MIN: Duration = Duration::from_millis(50);
 /// Longest pause before it is asked again. Pauses double up to this one.
 const RETRY_PAUSE_MAX: Duration = Duration::from_millis(400);
-/// Time for which a server is asked further in the background if its request has no deadline.
+/// Time for which a server is asked further in the background if its request has no deadline, and no
+/// attempt waits for the answer.
 const BACKGROUND_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time for which a server is asked further in the background after the request has ended. A run that
 /// nobody waits for may still begin, or go on.
@@ -46,6 +47,8 @@
 /// Longest pause before it is asked again. Pauses double up to this one. Two servers may work on a
 /// request for no longer than 400 ms.
 const BACKGROUND_PAUSE_MAX: Duration = Duration::from_millis(300);
+/// Most by which the clocks of a server and an instance differ.
+const CLOCK_SKEW_MAX: Duration = Duration::from_secs(1);
 /// Number of connections that can't be established after which a server counts as unreachable.
 const UNREACHABLE_CONNECTIONS: u32 = 3;
 
@@ -62,7 +65,8 @@
     /// The connection of the attempt has ended, and the server's address refuses connections. The
     /// process has most likely ended, but the run may go on if it has not.
     Refused,
-    /// The server's process has ended: another one has taken its name or address.
+    /// The server's process has ended: another one has taken its name or address, which was started after
+    /// the run was given up.
     Replaced,
     /// No connection to the server can be established.
     Unreachable,
@@ -183,6 +187,18 @@
         });
     }
 
+    /// Returns the last boot of a server that may have a run, or zero if none is known. A list that shows
+    /// starts late names an earlier one. Boots are the Unix times of starts in milliseconds.
+    fn last_boot_before(&self, target: &Target<'_>) -> BootId {
+        let clock = &self.context.clock;
+        let since = clock.now().saturating_sub(target.given_up_at);
+        let until = clock.wall().saturating_sub(since) + CLOCK_SKEW_MAX;
+        match target.boot {
+            0 => 0,
+            boot => boot.max(millis(until)),
+        }
+    }
+
     /// Starts to stop a run of the request. Its memory is copied to the server at `to`.
     pub(super) fn spawn_stop(&self, target: &Target<'_>, to: SocketAddr) -> Stop {
         let (sender, end) = watch::channel(None);
@@ -196,6 +212,10 @@
         let in_use = self.in_use.subscribe();
         let number = in_use.borrow().number;
         let reused = reuse(in_use.clone(), number, target.address);
+        let may_wait = !self.route.idempotent && !target.has_begun;
+        let time_left = self
+            .time_left(None)
+            .or((!may_wait).then_some(BACKGROUND_TIMEOUT));
         let call = Call {
             address: target.address,
             call: (codec.replicate_call)(&self.meta, to, true),
@@ -203,11 +223,11 @@
             is_connected: target.is_connected.clone(),
             has_begun: target.has_begun,
             in_use,
-            ends_at: Instant::now() + self.time_left(None).unwrap_or(BACKGROUND_TIMEOUT),
+            ends_at: time_left.map(|left| Instant::now() + left),
             partition: self.context.partition.clone(),
             process: FindSuccessor {
                 server: target.server.clone(),
-                boot: target.boot,
+                after: self.last_boot_before(target),
                 address: target.address,
             },
             decider: self.context.decider.clone(),
@@ -311,8 +331,8 @@
     has_begun: bool,
     /// Closed when the request has ended.
     in_use: watch::Receiver<InUse>,
-    /// Deadline of the request.
-    ends_at: Instant,
+    /// When the request counts as ended, or `None` if it has no deadline and an attempt may wait.
+    ends_at: Option<Instant>,
     partition: Arc<Partition>,
     /// The process that runs the request.
     process: FindSuccessor,
@@ -403,7 +423,8 @@
     }
 
     fn has_request_ended(&self) -> bool {
-        self.in_use.has_changed().is_err() || Instant::now() >= self.ends_at
+        let is_over = |ends_at| Instant::now() >= ends_at;
+        self.in_use.has_changed().is_err() || self.ends_at.is_some_and(is_over)
     }
 
     /// Asks the server once. Returns the end of the run if the response states it.
