Take a stamped rejection for no proof that a request has not run

What callers saw: nothing, or a 503 that promises that the request has not run. A server that runs a request and answers it with a 421, or with the field that states that it was not run, beside the stamp that only a response to a request that has run bears, was believed: the request was sent to the next server. The same held for a response with a stamp from the address of another instance.

Cause: the status and the field were looked at before the stamp, so one of two statements that contradict each other was taken for proof.

Now such a response is a kind of its own. A request that must run once ends with a 502 without a stamp, which promises nothing, and a stream that has begun treats it as any response that can't continue it. Requests that may run again are tried elsewhere as before, and rejections without a stamp count as before.

--- a/crates/exchange/src/codec.rs
+++ b/crates/exchange/src/codec.rs
@@ -101,6 +101,9 @@
     ServerError,
     /// The server may have executed the request, but its status tells callers that it was not.
     CalledUnexecuted,
+    /// The server states that it did not execute the request, but the response bears what only that to an
+    /// executed request does.
+    Contradictory,
     /// The response belongs to another request, or its origin can't be verified.
     Unrelated,
 }
@@ -124,6 +127,7 @@
             ResponseKind::Response => "response",
             ResponseKind::ServerError => "server-error",
             ResponseKind::CalledUnexecuted => "called-unexecuted",
+            ResponseKind::Contradictory => "contradictory",
             ResponseKind::Unrelated => "unrelated",
         }
     }
--- a/crates/exchange/src/relay/attempt.rs
+++ b/crates/exchange/src/relay/attempt.rs
@@ -88,12 +88,17 @@
             };
             match kind {
                 ResponseKind::NotExecuted | ResponseKind::Misdirected => AttemptResult::NotExecuted,
-                ResponseKind::UnprovenRefusal if is_idempotent => AttemptResult::NotExecuted,
+                ResponseKind::UnprovenRefusal | ResponseKind::Contradictory if is_idempotent => {
+                    AttemptResult::NotExecuted
+                }
                 ResponseKind::UnprovenRefusal => AttemptResult::Lost,
                 ResponseKind::NoRoom(retry_after) => AttemptResult::NoRoom(retry_after),
                 ResponseKind::Unrelated => AttemptResult::Lost,
+                ResponseKind::Contradictory if is_resumed => AttemptResult::NoStream,
                 // The caller would send the request again, and it would run twice.
-                ResponseKind::CalledUnexecuted => AttemptResult::Withheld,
+                ResponseKind::CalledUnexecuted | ResponseKind::Contradictory => {
+                    AttemptResult::Withheld
+                }
                 ResponseKind::ServerError => read_response(head, body, guard, true).await,
                 ResponseKind::Response if expects_events && head.may_hold_events() => {
                     if is_resumed {
--- a/crates/exchange/src/relay/notice.rs
+++ b/crates/exchange/src/relay/notice.rs
@@ -6,6 +6,7 @@
 use gateway::decider::Decider;
 use gateway::decider::HandleInput;
 use gateway::decider::Status;
+use hyper::StatusCode;
 use hyper::http::response;
 use tokio::sync::watch;
 use wigeon_core::Input;
@@ -54,7 +55,8 @@
         let mut notice = (self.server_notice)(parts);
         // Responses of another server or to another request say nothing about the limit now. The
         // absence of a limit is news only if one was stated before.
-        let is_foreign = matches!(kind, ResponseKind::Misdirected | ResponseKind::Unrelated);
+        let is_foreign = matches!(kind, ResponseKind::Misdirected | ResponseKind::Unrelated)
+            || parts.status == StatusCode::MISDIRECTED_REQUEST;
         let has_limited_servers = self.status.borrow().has_limited_servers;
         if is_foreign || (notice.limit == RateLimit::Absent && !has_limited_servers) {
             notice.limit = RateLimit::Unknown;
