End a request that its decider has lost track of

What callers saw: no answer. When the decider of an instance had panicked and been replaced, a request that the old one had sent to a server was not sent again, but if that attempt then failed, or its server never answered, its caller waited until it left.

Cause: the new decider has no record of the request and tells its relay so. The relay of the users' platform ignored that and waited for a command that nobody sends: the absence of a command was taken for one that is yet to come.

Now such a relay goes on with its attempt, and ends the request as lost when the attempt fails, or at its deadline. It makes no promise that the request has not run.

--- a/crates/exchange/src/relay.rs
+++ b/crates/exchange/src/relay.rs
@@ -244,6 +244,8 @@
     /// Whether engines serve the request.
     is_generation: bool,
     attempts: u32,
+    /// Whether the decider has been replaced since it ordered an attempt. The new one orders no other.
+    is_orphaned: bool,
     /// The server whose run may serve the caller.
     in_use: watch::Sender<InUse>,
     progress: Progress,
@@ -346,6 +348,7 @@
             runs_in_flight: Vec::new(),
             is_generation,
             attempts: 0,
+            is_orphaned: false,
             in_use: watch::Sender::default(),
             progress,
             replication: None,
@@ -375,7 +378,8 @@
                     }
                 }
                 RelayCommand::Finish(outcome) => return self.respond_unserved(&outcome),
-                RelayCommand::Cancel(_) | RelayCommand::Copy(..) | RelayCommand::Orphan => {}
+                RelayCommand::Orphan => self.is_orphaned = true,
+                RelayCommand::Cancel(_) | RelayCommand::Copy(..) => {}
             }
         }
     }
@@ -384,14 +388,23 @@
         if let Some(command) = self.pending_commands.pop_front() {
             return command;
         }
-        match self.commands.recv().await {
-            Some(command) => command,
-            // The decider has stopped because the process is shutting down.
-            None => RelayCommand::Finish(Outcome::Failed(Failure {
-                reason: Reason::Lost,
-                delivered: 0,
-                retry_after: None,
-            })),
+        if self.is_orphaned {
+            return finish_failed(Reason::Lost);
+        }
+        // Without a decider the process is shutting down.
+        let command = self.commands.recv().await;
+        command.unwrap_or_else(|| finish_failed(Reason::Lost))
+    }
+
+    /// Waits until the deadline of a request that the decider doesn't know any more. Waits forever if it
+    /// does, or if there is no deadline.
+    fn orphan_deadline(&self) -> impl Future<Output = ()> + Send + use<> {
+        let left = self.time_left(None).filter(|_| self.is_orphaned);
+        async move {
+            match left {
+                Some(left) => tokio::time::sleep(left).await,
+                None => std::future::pending().await,
+            }
         }
     }
 
@@ -434,10 +447,17 @@
     ) -> Option<T> {
         tokio::pin!(part);
         loop {
+            let deadline = self.orphan_deadline();
             tokio::select! {
                 result = &mut part => return Some(result),
+                () = deadline => {
+                    let command = finish_failed(Reason::TimedOut);
+                    self.pending_commands.push_back(command);
+                    return None;
+                }
                 command = self.commands.recv() => match command? {
-                    RelayCommand::Orphan | RelayCommand::Copy(..) => {}
+                    RelayCommand::Orphan => self.is_orphaned = true,
+                    RelayCommand::Copy(..) => {}
                     RelayCommand::Cancel(cancelled) if cancelled != attempt => {}
                     command => {
                         self.pending_commands.push_back(command);
@@ -671,6 +691,15 @@
     hasher.digest()
 }
 
+/// Returns the command that ends a request which may have run.
+fn finish_failed(reason: Reason) -> RelayCommand {
+    RelayCommand::Finish(Outcome::Failed(Failure {
+        reason,
+        delivered: 0,
+        retry_after: None,
+    }))
+}
+
 /// Returns the outcome and reason texts for metrics and logs.
 fn outcome_labels(outcome: &Outcome) -> (&'static str, &'static str) {
     match outcome {
--- a/crates/exchange/src/relay/streaming.rs
+++ b/crates/exchange/src/relay/streaming.rs
@@ -14,6 +14,7 @@
 use tokio::time::Instant;
 use wigeon_core::Event;
 use wigeon_core::message::Dispatch;
+use wigeon_core::outcome::Reason;
 use wire::AttemptId;
 
 use self::resumption::Stage;
@@ -125,6 +126,11 @@
         self.stop_begun && matches!(stage, Some(Stage::Waiting(_)))
     }
 
+    /// Returns whether nothing more comes for the caller unless another attempt is made.
+    fn is_over(&self) -> bool {
+        self.stream.is_none() && self.successor.is_none() && self.queue.is_empty()
+    }
+
     /// Returns whether an attempt may be made: it was ordered for the present silence or, after a
     /// silence or without one, for the loss of the stream.
     fn awaits(&self, dispatch: &Dispatch) -> bool {
@@ -234,17 +240,19 @@
             return;
         }
         loop {
+            let deadline = self.orphan_deadline();
             let frame = tokio::select! {
                 frame = stream.body.frame() => frame,
                 () = caller.closed() => return,
-                command = self.commands.recv() => {
-                    if let Some(RelayCommand::Orphan | RelayCommand::Copy(..)) = command {
+                () = deadline => return self.time_out_body(&caller).await,
+                command = self.commands.recv() => match command {
+                    Some(RelayCommand::Orphan) => {
+                        self.is_orphaned = true;
                         continue;
                     }
-                    let _ = caller.send(Err(Truncated)).await;
-                    self.finish("failed", "timed-out", StatusCode::OK);
-                    return;
-                }
+                    Some(RelayCommand::Copy(..)) => continue,
+                    _ => return self.time_out_body(&caller).await,
+                },
             };
             match frame {
                 Some(Ok(frame)) => {
@@ -272,6 +280,12 @@
         }
     }
 
+    /// Aborts the caller's connection, since the time of the request is up.
+    async fn time_out_body(&mut self, caller: &mpsc::Sender<Result<Bytes, Truncated>>) {
+        let _ = caller.send(Err(Truncated)).await;
+        self.finish("failed", "timed-out", StatusCode::OK);
+    }
+
     /// Forwards a stream of events. When an attempt fails, the stream resumes with the decider's
     /// next attempt. A silent attempt is kept until the server of the next one has begun to answer.
     async fn forward_events(
@@ -283,6 +297,7 @@
         let mut forwarding = Forwarding::new(dispatch, stream);
         loop {
             let silent_at = self.silent_at(&forwarding);
+            let deadline = self.orphan_deadline();
             let step = tokio::select! {
                 biased;
                 permit = caller.reserve(), if !forwarding.queue.is_empty() => match permit {
@@ -293,6 +308,7 @@
                     Err(_) => return,
                 },
                 () = caller.closed() => return,
+                () = deadline => Step::Abort(Reason::TimedOut.as_str()),
                 command = receive(&mut self.pending_commands, &mut self.commands) => {
                     self.on_command(&mut forwarding, command)
                 }
@@ -311,6 +327,12 @@
                 }
             };
             match step {
+                // Nobody orders an attempt that continues the stream.
+                Step::Continue if self.is_orphaned && forwarding.is_over() => {
+                    self.finish("failed", Reason::Lost.as_str(), StatusCode::OK);
+                    let _ = caller.send(Err(Truncated)).await;
+                    return;
+                }
                 Step::Continue => {}
                 Step::Complete => {
                     for bytes in forwarding.queue {
@@ -364,7 +386,8 @@
                     self.give_up_run(&cancelled.dispatch, cancelled.has_begun);
                 }
             }
-            RelayCommand::Copy(..) | RelayCommand::Orphan => {}
+            RelayCommand::Orphan => self.is_orphaned = true,
+            RelayCommand::Copy(..) => {}
             RelayCommand::Finish(outcome) => {
                 let (_, reason) = outcome_labels(&outcome);
                 return Step::Abort(reason);
