--- a/crates/exchange/src/relay/stop.rs
+++ b/crates/exchange/src/relay/stop.rs
@@ -47,8 +47,8 @@
 /// Longest pause before it is asked again. Pauses double up to this one. Two servers may work on a
 /// request for no longer than 400 ms.
 const BACKGROUND_PAUSE_MAX: Duration = Duration::from_millis(300);
-/// Most by which the clocks of a server and an instance differ.
-const CLOCK_SKEW_MAX: Duration = Duration::from_secs(1);
+/// Most by which the times of day of a server and an instance differ. Either may have been set anew.
+const CLOCK_SKEW_MAX: Duration = Duration::from_secs(3);
 /// Number of connections that can't be established after which a server counts as unreachable.
 const UNREACHABLE_CONNECTIONS: u32 = 3;
 
