Don't take a comment for the first event of a run

What callers saw: nothing; the request ran twice. A stream that must run once was lost after its server had sent a comment and before the run began. The request went on at its copy, and its server began it as well.

Cause: whether a run has begun was told by the first block of the stream, comments included. For a run that has begun, a server that knows no such run proves its end; this one had yet to begin.

Only an event that holds data shows that the run has begun; blocks without data are no events by the HTML standard. They are forwarded as before. The decider hears of the first token with that event too.

--- a/crates/exchange/src/relay/streaming.rs
+++ b/crates/exchange/src/relay/streaming.rs
@@ -60,7 +60,7 @@
     silences: u32,
     /// The present silence, if it was reported.
     silence: Option<u32>,
-    /// Whether no event of the attempt has arrived.
+    /// Whether no event of the attempt that holds data has arrived.
     awaits_event: bool,
     /// The attempt's part in a stream that another one has begun.
     continuation: Option<Continuation>,
@@ -419,7 +419,9 @@
     }
 
     async fn on_event(&mut self, forwarding: &mut Forwarding, event: sse::Event) {
-        if std::mem::take(&mut forwarding.awaits_event) {
+        // A server may send comments before a run begins.
+        if forwarding.awaits_event && event.has_data() {
+            forwarding.awaits_event = false;
             self.record_begun(forwarding.dispatch.attempt);
             self.send_event(&forwarding.dispatch, Event::FirstToken)
                 .await;
--- a/crates/exchange/src/sse.rs
+++ b/crates/exchange/src/sse.rs
@@ -15,6 +15,14 @@
     pub bytes: Bytes,
 }
 
+impl Event {
+    /// Returns whether the event holds data. One without, such as a comment, is not dispatched.
+    pub fn has_data(&self) -> bool {
+        let mut lines = self.bytes.split(|byte| *byte == b'\n');
+        lines.any(|line| line.starts_with(b"data"))
+    }
+}
+
 /// An event exceeds the maximum size.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct EventTooLong;
