Take a restart for proof of a run's end only if it came after the request

What callers saw: nothing; a stream that must run once began twice. Its server had been restarted under its name, and the list of servers showed that only after the request had been sent. The connection was lost while the new process read the prompt. The list then showed a later boot than the one that was listed when the request was sent, which counted as proof that the process had ended, and the request went on at its copy. The process that was listed was the one that read the prompt, and began a run of its own.

Cause: the boot that was listed when a request is sent was taken for the boot that it reached. A server accepts a request for its name whatever its boot.

Now a listed process proves the end of the one before only if it was started after the run was given up, by more than 250 ms, since the times are those of two machines. The process that held the connection was started before that. The time of the start is the boot id.

The tests of late_starts, lingering_servers, unproven_ends and proofs pass.

--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -5,6 +5,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use admit::Decision;
 use clock::Time;
@@ -48,6 +49,10 @@
 use crate::shutdown::Shutdown;
 use crate::suspects::SuspectRequests;
 
+/// Greatest difference between the clocks of an instance and of a server that is expected. A server needs
+/// longer than that to restart.
+const START_SKEW_MAX: Duration = Duration::from_millis(250);
+
 /// An invariant that was broken. Where a broken invariant does not panic, it is counted.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Violation {
@@ -275,12 +280,24 @@
         self.settings.entry.id
     }
 
-    /// Returns whether the list of backend servers shows that a boot of a server has ended: a process
-    /// that was started later has its name or its address. A process that is not listed may run all the
-    /// same, for example without a path to the store.
-    pub fn is_replaced(&self, server: &str, boot: BootId, address: SocketAddr) -> bool {
+    /// Returns whether the list of backend servers shows that the process has ended which a request had
+    /// reached by a time: one that was started after that time has its name or its address. A process that
+    /// is not listed may run all the same, for example without a path to the store.
+    ///
+    /// The process need not be the boot that was listed when the request was sent: it may have been
+    /// restarted before, and be listed only now.
+    pub fn is_replaced(
+        &self,
+        server: &str,
+        boot: BootId,
+        address: SocketAddr,
+        reached_by: WallTime,
+    ) -> bool {
+        let after = reached_by + START_SKEW_MAX;
         // A store that was restored may list processes that had ended before.
-        let is_later = |other: &ListedServer| boot != 0 && other.boot > boot;
+        let is_later = |other: &ListedServer| {
+            boot != 0 && other.boot > boot && Duration::from_millis(other.boot) > after
+        };
         let mut servers = self.servers.values().filter(|other| is_later(other));
         servers.any(|other| other.name == server || other.address == address)
     }
--- a/crates/exchange/src/relay/stop.rs
+++ b/crates/exchange/src/relay/stop.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use clock::Time;
+use clock::WallTime;
 use compact_str::CompactString;
 use gateway::decider::Decider;
 use gateway::decider::FindSuccessor;
@@ -62,7 +63,8 @@
     /// The connection of the attempt has ended, and the server's address refuses connections. The
     /// process has most likely ended, but the run may go on if it has not.
     Refused,
-    /// The server's process has ended: another one has taken its name or address.
+    /// The server's process has ended: one that was started after the run was given up has taken its name or
+    /// address.
     Replaced,
     /// No connection to the server can be established.
     Unreachable,
@@ -183,6 +185,14 @@
         });
     }
 
+    /// Returns the wall time of a time in the past.
+    fn wall_time_of(&self, time: Time) -> WallTime {
+        let clock = &self.context.clock;
+        clock
+            .wall()
+            .saturating_sub(clock.now().saturating_sub(time))
+    }
+
     /// Starts to stop a run of the request. Its memory is copied to the server at `to`.
     pub(super) fn spawn_stop(&self, target: &Target<'_>, to: SocketAddr) -> Stop {
         let (sender, end) = watch::channel(None);
@@ -209,6 +219,7 @@
                 server: target.server.clone(),
                 boot: target.boot,
                 address: target.address,
+                reached_by: self.wall_time_of(target.given_up_at),
             },
             decider: self.context.decider.clone(),
             notices: NoticeReporter::new(&self.context, target.server.clone(), target.boot),
--- a/crates/gateway/src/decider.rs
+++ b/crates/gateway/src/decider.rs
@@ -11,6 +11,7 @@
 
 use clock::Clock;
 use clock::Time;
+use clock::WallTime;
 use conf::Config;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -373,15 +374,18 @@
     }
 }
 
-/// Looks up whether the list of backend servers shows that a boot of a server has ended.
+/// Looks up whether the list of backend servers shows that the process has ended which a request had
+/// reached.
 #[derive(Clone, Debug)]
 pub struct FindSuccessor {
     /// Name of the server.
     pub server: Name,
-    /// Boot of the server.
+    /// Boot of the server that was listed when the request was sent.
     pub boot: BootId,
     /// Address of the server.
     pub address: SocketAddr,
+    /// Time by which the request had reached the process, if it has.
+    pub reached_by: WallTime,
 }
 
 impl Handler<FindSuccessor> for Decider {
@@ -392,8 +396,10 @@
             server,
             boot,
             address,
+            reached_by,
         } = process;
-        self.instance.is_replaced(&server, boot, address)
+        self.instance
+            .is_replaced(&server, boot, address, reached_by)
     }
 }
 
