--- a/crates/exchange/src/relay/streaming.rs
+++ b/crates/exchange/src/relay/streaming.rs
@@ -443,7 +443,7 @@
 
     async fn on_event(&mut self, forwarding: &mut Forwarding, event: sse::Event) {
         // A server may send comments before a run begins.
-        if forwarding.awaits_event && event.has_data() {
+        if forwarding.awaits_event && (event.id.is_some() || event.has_data()) {
             forwarding.awaits_event = false;
             self.record_begun(forwarding.dispatch.attempt);
             self.send_event(&forwarding.dispatch, Event::FirstToken)
--- a/crates/gateway/src/decider.rs
+++ b/crates/gateway/src/decider.rs
@@ -373,7 +373,8 @@
     }
 }
 
-/// Looks up whether the list of backend servers shows that a boot of a server has ended.
+/// Looks up whether the list of backend servers shows that the process has ended which a request had
+/// reached.
 #[derive(Clone, Debug)]
 pub struct FindSuccessor {
     /// Name of the server.
