--- a/crates/exchange/src/relay/stop.rs
+++ b/crates/exchange/src/relay/stop.rs
@@ -262,8 +262,8 @@
                         () = reused => RunEnd::Unknown,
                     };
                     late.log(&late_end);
-                    if call.is_proof(&late_end) {
-                        // An attempt may wait for the proof.
+                    if call.is_proof(&late_end) || late_end == RunEnd::Unknown {
+                        // An attempt may wait for the proof, or has to have its server asked anew.
                         sender.send_replace(Some(late_end.clone()));
                     }
                     late_end
@@ -417,9 +417,12 @@
 
     /// Returns whether another process has taken the place of the server's.
     async fn is_replaced(&self) -> bool {
-        // A decider that has stopped knows nothing.
-        let answer = self.decider.send(self.process.clone()).await;
-        answer.unwrap_or(false)
+        // A decider that has stopped, or stands still, knows nothing.
+        let asking = tokio::time::timeout(
+            BACKGROUND_PAUSE_MAX,
+            self.decider.send(self.process.clone()),
+        );
+        matches!(asking.await, Ok(Ok(true)))
     }
 
     fn has_request_ended(&self) -> bool {
