Bound what wigeond reads from servers and the store

What callers saw: nothing yet; users of the other interface lost an instance to a server that sent bytes without end. An instance of `wigeond` kept the whole body of a call, of a 410, of a report, of the store's answers and of the list, however long it was, until a timeout of up to 12 s. Interim responses and chunk sizes without end were read as long.

Cause: bodies were collected without a limit, and the client limits the size of one head only.

Both programs now read responses in one way: the connection that limits the bytes of a part moves from the exchange to the gateway, and whole bodies are read up to a limit: 4 MiB for the answer of a plain service and of the store, 256 KiB for a report, 16 KiB for what is no answer. A body is copied while it arrives, since a frame of one byte keeps the buffer that it was read into. Each request has its own connection, as those to servers had before; calls of the store and readings of the list now have one as well, and all of them give up a connection that is not established in 150 ms, or whose peer does not acknowledge for 3 s.

late_copy.rs and the load driver no longer pass a client, which the functions don't take any more; what they check is unchanged.

--- a/crates/exchange/src/connection.rs
+++ b/crates/exchange/src/connection.rs
@@ -1,151 +1,23 @@
-//! One attempt's connection to a backend server.
+//! Connections to servers, and calls that concern replicas of a generation's KV memory.
 
-use std::io;
 use std::net::SocketAddr;
-use std::pin::Pin;
-use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
-use std::task::Context;
-use std::task::Poll;
-use std::task::ready;
-use std::time::Duration;
 
 use bytes::Bytes;
-use gateway::path;
-use http_body_util::BodyExt;
-use http_body_util::Full;
-use http_body_util::Limited;
+pub use gateway::connection::ConnectionError;
+pub use gateway::connection::ConnectionGuard;
+pub use gateway::connection::ServerBody;
+use gateway::connection::fetch;
+use gateway::connection::request;
+pub use gateway::connection::send_request;
 use hyper::Method;
-use hyper::Request;
 use hyper::Response;
-use hyper::body::Body;
-use hyper::body::Frame;
-use hyper::body::Incoming;
-use hyper::body::SizeHint;
-use hyper::client::conn::http1;
 use hyper::header::CONTENT_TYPE;
-use hyper::header::HOST;
-use hyper_util::rt::TokioIo;
-use socket2::SockRef;
-use socket2::TcpKeepalive;
-use tokio::net::TcpStream;
-use tokio::task::JoinHandle;
+use hyper::header::HeaderValue;
 
 use crate::codec::ReplicateCall;
-use crate::observed::ObservedStream;
 
-/// Time without an acknowledgement of sent bytes after which the kernel closes a connection.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(3_000);
-/// Time between two TCP keepalive probes on an idle connection.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-/// Maximum number of bytes that a server may send without completing a part of its response: the
-/// head, with interim responses included, or more of the body. Chunk sizes and trailers have no
-/// limit of their own.
-const PART_BYTES_MAX: usize = 64 * 1_024;
-/// Buffer size of a connection in bytes, near the minimum that hyper accepts.
-const CONNECTION_BUFFER_BYTES: usize = 16 * 1_024;
-
-/// Reason why an attempt received no response.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum ConnectionError {
-    /// No connection was established, so no bytes were sent.
-    Unreachable,
-    /// The same, since no process listens at the address.
-    Refused,
-    /// The connection was lost; the server may have executed the request.
-    Lost,
-}
-
-/// Closes the connection of an attempt when dropped.
-#[derive(Debug)]
-pub struct ConnectionGuard {
-    driver: JoinHandle<()>,
-}
-
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        self.driver.abort();
-    }
-}
-
-/// The body of a server's response.
-#[derive(Debug)]
-pub struct ServerBody {
-    incoming: Incoming,
-    /// Bytes that the server has sent since the last part of its response.
-    received: Arc<AtomicUsize>,
-}
-
-impl Body for ServerBody {
-    type Data = Bytes;
-    type Error = hyper::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        let frame = ready!(Pin::new(&mut self.incoming).poll_frame(context));
-        if matches!(&frame, Some(Ok(frame)) if frame.is_data()) {
-            self.received.store(0, Ordering::Relaxed);
-        }
-        Poll::Ready(frame)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.incoming.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.incoming.size_hint()
-    }
-}
-
-/// Opens a connection, sends a request and returns the head of the response. The connection is
-/// closed when the returned guard is dropped.
-///
-/// # Errors
-///
-/// Returns an error if no connection is established, or if it is lost before the response's head
-/// has arrived.
-pub async fn send_request(
-    address: SocketAddr,
-    request: Request<Full<Bytes>>,
-) -> Result<(ConnectionGuard, Response<ServerBody>), ConnectionError> {
-    let stream = path::connect(address).await;
-    let stream = stream.map_err(|error| match error.kind() {
-        io::ErrorKind::ConnectionRefused => ConnectionError::Refused,
-        _ => ConnectionError::Unreachable,
-    })?;
-    detect_dead_peer(&stream);
-    let received = Arc::new(AtomicUsize::new(0));
-    let received_since_part = received.clone();
-    // Hyper limits the size of one head, but not the number of interim responses or the size of
-    // what frames the body.
-    let stream = ObservedStream::new(stream, move |read| {
-        let before = received_since_part.fetch_add(read, Ordering::Relaxed);
-        if before + read > PART_BYTES_MAX {
-            return Err(io::ErrorKind::InvalidData.into());
-        }
-        Ok(())
-    });
-    let handshake = http1::Builder::new()
-        .max_buf_size(CONNECTION_BUFFER_BYTES)
-        .handshake(TokioIo::new(stream));
-    let (mut sender, connection) = handshake.await.map_err(|_| ConnectionError::Lost)?;
-    let driver = tokio::spawn(async move {
-        // An error of the connection is reported to the task that reads the response.
-        let _ = connection.await;
-    });
-    let guard = ConnectionGuard { driver };
-    let response = sender
-        .send_request(request)
-        .await
-        .map_err(|_| ConnectionError::Lost)?;
-    received.store(0, Ordering::Relaxed);
-    let response = response.map(|incoming| ServerBody { incoming, received });
-    Ok((guard, response))
-}
+/// Maximum size of a response to a call, in bytes.
+const RESPONSE_BYTES_MAX: usize = 16 * 1_024;
 
 /// Makes a server replicate a generation's KV memory. Returns the response.
 ///
@@ -156,14 +28,11 @@
     server: SocketAddr,
     call: ReplicateCall,
 ) -> Result<Response<Bytes>, ConnectionError> {
-    let request = Request::builder()
-        .method(Method::POST)
-        .uri(call.path.as_str())
-        .header(HOST, server.to_string())
-        .header(CONTENT_TYPE, "application/json")
-        .body(Full::from(call.body))
+    let mut request = request(Method::POST, server, &call.path, call.body)
         .map_err(|_| ConnectionError::Unreachable)?;
-    fetch(server, request, CONNECTION_BUFFER_BYTES).await
+    let media = HeaderValue::from_static("application/json");
+    request.headers_mut().insert(CONTENT_TYPE, media);
+    fetch(server, request, RESPONSE_BYTES_MAX).await
 }
 
 /// Releases a replica at the server that made it. Returns the response.
@@ -175,49 +44,7 @@
     server: SocketAddr,
     path: &str,
 ) -> Result<Response<Bytes>, ConnectionError> {
-    let request = Request::builder()
-        .method(Method::DELETE)
-        .uri(path)
-        .header(HOST, server.to_string())
-        .body(Full::default())
-        .map_err(|_| ConnectionError::Unreachable)?;
-    fetch(server, request, CONNECTION_BUFFER_BYTES).await
-}
-
-/// Sends a request and reads the whole response, whose body has at most `body_bytes_max` bytes.
-///
-/// # Errors
-///
-/// Returns an error if the server is unreachable, or if its response is not complete or too long.
-pub async fn fetch(
-    server: SocketAddr,
-    request: Request<Full<Bytes>>,
-    body_bytes_max: usize,
-) -> Result<Response<Bytes>, ConnectionError> {
-    let (_guard, response) = send_request(server, request).await?;
-    let (parts, body) = response.into_parts();
-    let body = Limited::new(body, body_bytes_max).collect().await;
-    let bytes = body.map_err(|_| ConnectionError::Lost)?.to_bytes();
-    Ok(Response::from_parts(parts, bytes))
-}
-
-/// Sets TCP options so that the kernel closes a connection whose peer does not respond, for example
-/// during a network partition. Also disables Nagle's algorithm.
-pub fn detect_dead_peer(stream: &TcpStream) {
-    let socket = SockRef::from(stream);
-    let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE_INTERVAL)
-        .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(2);
-    let results = [
-        stream.set_nodelay(true),
-        socket.set_tcp_keepalive(&keepalive),
-        socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT)),
-    ];
-    for result in results {
-        if let Err(error) = result {
-            // The connection still works, but a network partition is detected later.
-            log::debug!("link: Can't set a socket option: {error}.");
-        }
-    }
+    let request =
+        request(Method::DELETE, server, path, "").map_err(|_| ConnectionError::Unreachable)?;
+    fetch(server, request, RESPONSE_BYTES_MAX).await
 }
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -37,13 +37,12 @@
 //! - [`codec`]: the headers of a platform.
 //! - [`listener`]: callers' connections, with their limits on time and size.
 //! - [`relay`]: one request, from its headers to the end of its response.
-//! - [`connection`]: one attempt's connection to a backend server.
+//! - [`connection`]: connections to servers, and calls that concern replicas.
 //! - [`sse`]: parsing of server-sent events.
 
 pub mod codec;
 pub mod connection;
 pub mod listener;
-mod observed;
 pub mod relay;
 pub mod sse;
 
--- a/crates/exchange/src/listener.rs
+++ b/crates/exchange/src/listener.rs
@@ -13,6 +13,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use gateway::connection::detect_dead_peer;
+use gateway::observed::ObservedStream;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -23,8 +25,6 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
-use crate::connection;
-use crate::observed::ObservedStream;
 use crate::relay;
 use crate::relay::RelayContext;
 use crate::relay::ResponseBody;
@@ -112,7 +112,7 @@
     context: Arc<RelayContext>,
     mut phase: watch::Receiver<Phase>,
 ) {
-    connection::detect_dead_peer(&stream);
+    detect_dead_peer(&stream);
     let limits = context.status.borrow().config.limits;
     let state = Arc::new(ConnectionState::default());
     let (read_state, clock) = (state.clone(), context.clock.clone());
--- a/crates/exchange/src/relay/attempt.rs
+++ b/crates/exchange/src/relay/attempt.rs
@@ -61,7 +61,9 @@
                 Err(ConnectionError::Unreachable | ConnectionError::Refused) => {
                     return AttemptResult::Unreachable;
                 }
-                Err(ConnectionError::Lost) => return AttemptResult::Lost,
+                Err(ConnectionError::Lost | ConnectionError::TooLong) => {
+                    return AttemptResult::Lost;
+                }
             };
             let (parts, body) = response.into_parts();
             let kind = classify(&meta, &parts);
--- a/crates/exchange/src/relay/stop.rs
+++ b/crates/exchange/src/relay/stop.rs
@@ -349,7 +349,7 @@
                         return RunEnd::Unreachable;
                     }
                 }
-                Ok(Ok(None) | Err(ConnectionError::Lost | ConnectionError::Refused)) => {
+                Ok(Ok(None) | Err(_)) => {
                     pause = self.wait(pause).await;
                 }
             }
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -11,9 +11,11 @@
 use bytes::BytesMut;
 use compact_str::CompactString;
 use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Method;
+use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderValue;
 use route::prefix;
@@ -23,8 +25,10 @@
 use wigeon_core::RateLimit;
 use wigeon_core::ServerReport;
 
-use crate::http;
-use crate::http::HttpClient;
+use crate::connection;
+use crate::connection::ConnectionError;
+use crate::connection::ConnectionGuard;
+use crate::connection::ServerBody;
 
 /// Longest wait for a server's report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(700);
@@ -34,6 +38,13 @@
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Longest line of a generation, in bytes.
 const LINE_BYTES_MAX: usize = 64 * 1_024;
+/// Maximum size of the body of a plain service's response, in bytes. It is kept whole, so a longer
+/// one fails the request.
+pub const ANSWER_BYTES_MAX: usize = 4 * 1_024 * 1_024;
+/// Maximum size of a server's report, in bytes.
+const REPORT_BYTES_MAX: usize = 256 * 1_024;
+/// Maximum size of any other response that is no answer, in bytes.
+const REPLY_BYTES_MAX: usize = 16 * 1_024;
 
 /// Body of the request that starts a generation.
 #[derive(Clone, Debug, Serialize)]
@@ -66,6 +77,18 @@
     },
     /// The connection broke or the response was invalid; the request may have run.
     Broken,
+    /// The response is longer than [`ANSWER_BYTES_MAX`]; the request may have run.
+    TooLong,
+}
+
+impl From<ConnectionError> for BackendError {
+    fn from(error: ConnectionError) -> BackendError {
+        match error {
+            ConnectionError::Unreachable | ConnectionError::Refused => BackendError::Unreachable,
+            ConnectionError::Lost => BackendError::Broken,
+            ConnectionError::TooLong => BackendError::TooLong,
+        }
+    }
 }
 
 /// One line of a generation's stream.
@@ -118,8 +141,9 @@
 /// Reads the lines of a generation from one connection.
 #[derive(Debug)]
 pub struct LineReader {
-    body: Incoming,
+    body: ServerBody,
     buffer: BytesMut,
+    _guard: ConnectionGuard,
 }
 
 impl LineReader {
@@ -166,26 +190,13 @@
     }
 }
 
-/// Returns a client for generations and calls, which opens a connection for each request.
-///
-/// A server may send a second copy of a response late. On a connection that is in use again, it
-/// would be taken for the response to the next request. After a failure on a reused connection, it
-/// is also unknown whether the request has run.
-pub fn client() -> HttpClient {
-    http::client(false)
-}
-
 /// Starts a generation and returns a reader of its lines.
 ///
 /// # Errors
 ///
 /// Returns an error if the server can't be reached, refuses the request or breaks the connection.
-pub async fn generate(
-    client: HttpClient,
-    address: SocketAddr,
-    body: Vec<u8>,
-) -> Result<LineReader, BackendError> {
-    open_stream(client, address, "/generate", body).await
+pub async fn generate(address: SocketAddr, body: Vec<u8>) -> Result<LineReader, BackendError> {
+    open_stream(address, "/generate", body).await
 }
 
 /// Resumes reading an attempt's generation at the token with index `from`.
@@ -195,30 +206,23 @@
 /// Returns an error if the server can't be reached, no longer has the generation or breaks the
 /// connection.
 pub async fn resume(
-    client: HttpClient,
     address: SocketAddr,
     attempt: u64,
     from: u32,
 ) -> Result<LineReader, BackendError> {
     let body = format!(r#"{{"attempt":{attempt},"from":{from}}}"#);
-    open_stream(client, address, "/resume", body.into_bytes()).await
+    open_stream(address, "/resume", body.into_bytes()).await
 }
 
 async fn open_stream(
-    client: HttpClient,
     address: SocketAddr,
     path: &'static str,
     body: Vec<u8>,
 ) -> Result<LineReader, BackendError> {
-    let response = send(&client, http::request("POST", address, path, body)).await?;
+    let (guard, response) = send(address, Method::POST, path, body).await?;
     if response.status() == StatusCode::GONE {
-        let bytes = response
-            .into_body()
-            .collect()
-            .await
-            .map_err(|_| BackendError::Broken)?;
-        let lost: WireLost =
-            serde_json::from_slice(&bytes.to_bytes()).map_err(|_| BackendError::Broken)?;
+        let bytes = connection::read_body(response.into_body(), REPLY_BYTES_MAX).await?;
+        let lost: WireLost = serde_json::from_slice(&bytes).map_err(|_| BackendError::Broken)?;
         return Err(BackendError::Gone { boot: lost.boot });
     }
     if response.status() != StatusCode::OK {
@@ -227,25 +231,37 @@
     Ok(LineReader {
         body: response.into_body(),
         buffer: BytesMut::new(),
+        _guard: guard,
     })
 }
 
+/// Sends a request over a connection of its own.
+///
+/// A server may send a second copy of a response late. On a connection that is in use again, it
+/// would be taken for the response to the next request. After a failure on a reused connection, it
+/// is also unknown whether the request has run.
 async fn send(
-    client: &HttpClient,
-    request: hyper::Request<http_body_util::Full<Bytes>>,
-) -> Result<Response<Incoming>, BackendError> {
-    client.request(request).await.map_err(|error| {
-        if error.is_connect() {
-            BackendError::Unreachable
-        } else {
-            BackendError::Broken
-        }
-    })
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    body: impl Into<Bytes>,
+) -> Result<(ConnectionGuard, Response<ServerBody>), BackendError> {
+    let request = request(address, method, path, body)?;
+    Ok(connection::send_request(address, request).await?)
+}
+
+fn request(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    body: impl Into<Bytes>,
+) -> Result<Request<Full<Bytes>>, BackendError> {
+    connection::request(method, address, path, body).map_err(|_| BackendError::Unreachable)
 }
 
 /// Returns the error of a failed response. Only an `x-run: none` header proves that the request did
 /// not run; after any other failure it may have run.
-fn response_error(response: &Response<Incoming>) -> BackendError {
+fn response_error(response: &Response<ServerBody>) -> BackendError {
     let did_not_run = response
         .headers()
         .get("x-run")
@@ -275,17 +291,16 @@
 ///
 /// Returns an error if the service can't be reached, refuses the call or breaks the connection.
 pub async fn call(
-    client: HttpClient,
     address: SocketAddr,
     path: String,
     media: String,
     body: Bytes,
 ) -> Result<PlainAnswer, BackendError> {
-    let mut request = http::request("POST", address, &path, body);
+    let mut request = request(address, Method::POST, &path, body)?;
     if let Ok(value) = HeaderValue::from_str(&media) {
         request.headers_mut().insert(CONTENT_TYPE, value);
     }
-    let response = send(&client, request).await?;
+    let (_guard, response) = connection::send_request(address, request).await?;
     if response.status() == StatusCode::SERVICE_UNAVAILABLE
         && response_error(&response) == BackendError::Refused
     {
@@ -298,12 +313,7 @@
         .and_then(|value| value.to_str().ok())
         .unwrap_or("application/json")
         .to_string();
-    let body = response
-        .into_body()
-        .collect()
-        .await
-        .map_err(|_| BackendError::Broken)?
-        .to_bytes();
+    let body = connection::read_body(response.into_body(), ANSWER_BYTES_MAX).await?;
     Ok(PlainAnswer {
         status,
         media,
@@ -312,19 +322,18 @@
 }
 
 /// Tells a server to cancel an attempt. A failure is ignored.
-pub async fn cancel(client: HttpClient, address: SocketAddr, attempt: u64) {
+pub async fn cancel(address: SocketAddr, attempt: u64) {
     let body = format!(r#"{{"attempt":{attempt}}}"#);
-    let request = http::request("POST", address, "/cancel", body);
-    let _ = tokio::time::timeout(CANCEL_TIMEOUT, send(&client, request)).await;
+    let sending = send(address, Method::POST, "/cancel", body);
+    let _ = tokio::time::timeout(CANCEL_TIMEOUT, sending).await;
 }
 
 /// Fetches a server's report, or returns `None` if the server fails or does not respond in time.
-pub async fn report(client: HttpClient, address: SocketAddr) -> Option<ServerReport> {
+pub async fn report(address: SocketAddr) -> Option<ServerReport> {
     let fetch = async {
-        let request = http::request("GET", address, "/load", "");
-        let response = send(&client, request).await.ok()?;
-        let bytes = response.into_body().collect().await.ok()?.to_bytes();
-        let report: WireReport = serde_json::from_slice(&bytes).ok()?;
+        let request = request(address, Method::GET, "/load", "").ok()?;
+        let response = connection::fetch(address, request, REPORT_BYTES_MAX).await;
+        let report: WireReport = serde_json::from_slice(response.ok()?.body()).ok()?;
         Some(report)
     };
     let wire = tokio::time::timeout(REPORT_TIMEOUT, fetch).await.ok()??;
@@ -369,11 +378,11 @@
 }
 
 /// Sends an order to an engine. The server's next reports show whether it was carried out.
-pub async fn order(client: HttpClient, address: SocketAddr, order: reconcile::Order) {
+pub async fn order(address: SocketAddr, order: reconcile::Order) {
     let body = serde_json::json!({ "fence": order.fence, "setup": order.setup });
-    let request = http::request("POST", address, "/order", body.to_string());
-    let result = tokio::time::timeout(ORDER_TIMEOUT, send(&client, request)).await;
-    if let Ok(Ok(response)) = result
+    let sending = send(address, Method::POST, "/order", body.to_string());
+    let result = tokio::time::timeout(ORDER_TIMEOUT, sending).await;
+    if let Ok(Ok((_guard, response))) = result
         && response.status() == StatusCode::CONFLICT
     {
         let (server, fence) = (order.server, order.fence);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,8 @@
 //! - [`operators`]: the HTTP API for operators.
 //! - [`backend`]: HTTP client for model engines and plain services.
 //! - [`platform`]: HTTP client for the platform's key-value store and its list.
+//! - [`connection`]: one request's connection to a backend server or the platform.
+//! - [`observed`]: a TCP stream whose reads are observed.
 //! - [`peers`]: sends and receives frames between instances.
 //! - [`partition`]: simulated network partitions, for experiments.
 //! - [`path`]: connections to backend servers, and tests whether one can be established.
@@ -42,12 +44,14 @@
 pub mod backend;
 pub mod callers;
 mod completion;
+pub mod connection;
 pub mod decider;
 mod events;
 pub mod http;
 pub mod log_limit;
 pub mod metrics;
 pub mod node;
+pub mod observed;
 pub mod operators;
 pub mod partition;
 pub mod path;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -22,7 +22,6 @@
 use crate::decider::Pause;
 use crate::decider::Status;
 use crate::http;
-use crate::http::HttpClient;
 use crate::metrics::Metrics;
 use crate::operators;
 use crate::operators::Operators;
@@ -74,7 +73,6 @@
             callers: callers.local_addr()?,
             operators: operators.local_addr()?,
         };
-        let client = http::client(true);
         let (platform, platform_mailbox) = Mailbox::unbounded();
         let core = core_settings(&settings, &entry);
         let key = &settings.peers_key;
@@ -86,7 +84,7 @@
             partition,
             mut supervisor,
         } = Runtime::start(core, key, sockets, clock.clone(), |decider, partition| {
-            effects(platform, client.clone(), partition.clone(), decider.clone())
+            effects(platform, partition.clone(), decider.clone())
         });
         let (address, platform_decider) = (settings.platform, decider.clone());
         let platform_partition = partition.clone();
@@ -106,7 +104,6 @@
         let relay_context = Arc::new(RelayContext {
             decider: decider.clone(),
             relays,
-            client: backend::client(),
             clock,
             partition: partition.clone(),
             metrics: metrics.clone(),
@@ -228,11 +225,9 @@
 /// Returns the decider's side effects, which call the platform and the backend servers.
 fn effects(
     platform: Address<Platform>,
-    client: HttpClient,
     partition: Arc<Partition>,
     decider: Address<Decider>,
 ) -> Effects {
-    let order_client = client.clone();
     let test_path = path::tester(decider.clone(), partition.clone());
     Effects {
         test_path,
@@ -243,19 +238,19 @@
             });
         }),
         probe_server: Box::new(move |server, address, requested_at| {
-            let (client, partition, decider) = (client.clone(), partition.clone(), decider.clone());
+            let (partition, decider) = (partition.clone(), decider.clone());
             tokio::spawn(async move {
                 let report = if partition.cuts(address) {
                     None
                 } else {
-                    backend::report(client, address).await
+                    backend::report(address).await
                 };
                 let input = Input::Report(server, requested_at, report);
                 let _ = decider.send(HandleInput(input)).detach().await;
             });
         }),
         send_order: Box::new(move |address, order| {
-            tokio::spawn(backend::order(order_client.clone(), address, order));
+            tokio::spawn(backend::order(address, order));
         }),
     }
 }
--- a/crates/exchange/src/observed.rs
+++ b/crates/gateway/src/observed.rs
@@ -15,13 +15,14 @@
 type ReadObserver = Box<dyn FnMut(usize) -> io::Result<()> + Send>;
 
 /// A TCP stream that calls a function after each read of at least one byte.
-pub(crate) struct ObservedStream {
+pub struct ObservedStream {
     stream: TcpStream,
     on_read: ReadObserver,
 }
 
 impl ObservedStream {
-    pub(crate) fn new(
+    /// Returns a stream that calls a function with the number of bytes of each read.
+    pub fn new(
         stream: TcpStream,
         on_read: impl FnMut(usize) -> io::Result<()> + Send + 'static,
     ) -> ObservedStream {
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
-use http_body_util::BodyExt;
+use hyper::Method;
 use hyper::StatusCode;
 use serde::Deserialize;
 use store::Answer;
@@ -19,10 +19,10 @@
 use xtra::Context;
 use xtra::Handler;
 
+use crate::connection;
+use crate::connection::ConnectionError;
 use crate::decider::Decider;
 use crate::decider::HandleInput;
-use crate::http;
-use crate::http::HttpClient;
 use crate::partition::Partition;
 
 /// Time between two reads of the list.
@@ -31,12 +31,13 @@
 const LIST_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Longest wait for a watch. The service ends a watch earlier by itself.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(12);
+/// Maximum size of the body of a response, in bytes. A value has up to 1 MiB.
+const RESPONSE_BYTES_MAX: usize = 4 * 1_024 * 1_024;
 
 /// The actor that makes calls to the platform's store.
 #[derive(Debug)]
 pub struct Platform {
     address: SocketAddr,
-    client: HttpClient,
     partition: Arc<Partition>,
     decider: Address<Decider>,
 }
@@ -50,7 +51,6 @@
     ) -> Platform {
         Platform {
             address,
-            client: http::client(true),
             partition,
             decider,
         }
@@ -71,14 +71,14 @@
     type Return = ();
 
     async fn handle(&mut self, SendCall(sent): SendCall, _: &mut Context<Platform>) {
-        let (address, client) = (self.address, self.client.clone());
+        let address = self.address;
         let decider = self.decider.clone();
         let partition = self.partition.clone();
         tokio::spawn(async move {
             let answer = if partition.cuts(address) {
                 Answer::Unreachable
             } else {
-                call(&client, address, &sent).await
+                call(address, &sent).await
             };
             let _ = decider
                 .send(HandleInput(Input::Store(sent.id, answer)))
@@ -88,7 +88,7 @@
     }
 }
 
-async fn call(client: &HttpClient, address: SocketAddr, sent: &OutgoingCall) -> Answer {
+async fn call(address: SocketAddr, sent: &OutgoingCall) -> Answer {
     let timeout = match sent.call {
         Call::Watch { .. } => WATCH_TIMEOUT,
         _ => sent.timeout,
@@ -96,21 +96,22 @@
     let Ok(body) = postcard::to_stdvec(&sent.call) else {
         return Answer::Unreachable;
     };
-    let request = http::request("POST", address, "/kv", body);
+    let Ok(request) = connection::request(Method::POST, address, "/kv", body) else {
+        return Answer::Unreachable;
+    };
     let response = async {
-        let response = client.request(request).await.map_err(|error| {
-            if error.is_connect() {
-                Answer::Unreachable
-            } else {
+        let fetched = connection::fetch(address, request, RESPONSE_BYTES_MAX).await;
+        let response = fetched.map_err(|error| match error {
+            ConnectionError::Unreachable | ConnectionError::Refused => Answer::Unreachable,
+            ConnectionError::Lost | ConnectionError::TooLong => {
+                log::warn!("platform: No whole response of the store: {error}.");
                 Answer::Unknown
             }
         })?;
         if response.status() != StatusCode::OK {
             return Err(Answer::Unreachable);
         }
-        let collected = response.into_body().collect().await;
-        let bytes = collected.map_err(|_| Answer::Unknown)?.to_bytes();
-        postcard::from_bytes(&bytes).map_err(|_| Answer::Unknown)
+        postcard::from_bytes(response.body()).map_err(|_| Answer::Unknown)
     };
     match tokio::time::timeout(timeout, response).await {
         Ok(Ok(answer)) | Ok(Err(answer)) => answer,
@@ -135,10 +136,9 @@
 
 /// Reads the list periodically and passes it to the decider, until the task is stopped.
 pub async fn read_list(address: SocketAddr, partition: Arc<Partition>, decider: Address<Decider>) {
-    let client = http::client(true);
     loop {
         if !partition.cuts(address)
-            && let Some(list) = fetch_list(&client, address).await
+            && let Some(list) = fetch_list(address).await
         {
             let _ = decider.send(HandleInput(Input::List(list))).detach().await;
         }
@@ -146,15 +146,21 @@
     }
 }
 
-async fn fetch_list(client: &HttpClient, address: SocketAddr) -> Option<Vec<ListEntry>> {
-    let request = http::request("GET", address, "/list", "");
+async fn fetch_list(address: SocketAddr) -> Option<Vec<ListEntry>> {
+    let request = connection::request(Method::GET, address, "/list", "").ok()?;
     let entries = async {
-        let response = client.request(request).await.ok()?;
+        let fetched = connection::fetch(address, request, RESPONSE_BYTES_MAX).await;
+        let response = match fetched {
+            Ok(response) => response,
+            Err(error) => {
+                log::debug!("platform: The list can't be read: {error}.");
+                return None;
+            }
+        };
         if response.status() != StatusCode::OK {
             return None;
         }
-        let bytes = response.into_body().collect().await.ok()?.to_bytes();
-        let entries: Vec<WireEntry> = serde_json::from_slice(&bytes).ok()?;
+        let entries: Vec<WireEntry> = serde_json::from_slice(response.body()).ok()?;
         Some(entries.into_iter().map(to_list_entry).collect())
     };
     tokio::time::timeout(LIST_TIMEOUT, entries).await.ok()?
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -42,7 +42,6 @@
 use crate::decider::HandleInput;
 use crate::decider::RelayCommand;
 use crate::decider::Relays;
-use crate::http::HttpClient;
 use crate::metrics::Metrics;
 use crate::partition::Partition;
 
@@ -83,8 +82,6 @@
     pub decider: Address<Decider>,
     /// The registry of all relays.
     pub relays: Arc<Relays>,
-    /// HTTP client for backend servers, made by [`backend::client`].
-    pub client: HttpClient,
     /// The clock for all timeouts and measured times.
     pub clock: Arc<dyn Clock>,
     /// Links that an experiment has cut.
@@ -254,24 +251,21 @@
                     prefixes: &self.request.prefixes,
                 };
                 let body = serde_json::to_vec(&generate).unwrap_or_default();
-                let client = self.context.client.clone();
-                Link::Opening(Box::pin(backend::generate(client, dispatch.address, body)))
+                Link::Opening(Box::pin(backend::generate(dispatch.address, body)))
             }
             Payload::Call { path, media, body } => {
-                let client = self.context.client.clone();
                 let (path, media, body) = (path.clone(), media.clone(), body.clone());
-                let call = backend::call(client, dispatch.address, path, media, body);
+                let call = backend::call(dispatch.address, path, media, body);
                 Link::Calling(Box::pin(call))
             }
         }
     }
 
     fn cancel(&mut self, id: AttemptId) {
-        if let Some(attempt) = self.attempt.take_if(|attempt| attempt.id == id) {
-            let client = self.context.client.clone();
-            if matches!(self.payload, Payload::Prompt { .. }) {
-                tokio::spawn(backend::cancel(client, attempt.address, id));
-            }
+        if let Some(attempt) = self.attempt.take_if(|attempt| attempt.id == id)
+            && matches!(self.payload, Payload::Prompt { .. })
+        {
+            tokio::spawn(backend::cancel(attempt.address, id));
         }
         if self.orphaned {
             self.fail_request(Reason::Lost);
@@ -424,7 +418,6 @@
     /// out. Gives the attempt up after [`RESUMES_MAX`] resumes, and at once if it is a plain call.
     async fn resume_stream(&mut self, now: Time) {
         let from = self.stream.next();
-        let client = self.context.client.clone();
         let Some(attempt) = &mut self.attempt else {
             return;
         };
@@ -440,7 +433,7 @@
         let (address, pause) = (attempt.address, RESUME_BACKOFF * attempt.resumes);
         attempt.link = Link::Opening(Box::pin(async move {
             tokio::time::sleep(pause).await;
-            backend::resume(client, address, id, from).await
+            backend::resume(address, id, from).await
         }));
         self.context.metrics.count_resume();
     }
@@ -467,17 +460,22 @@
             BackendError::Unreachable => self.lose_attempt(id, true).await,
             BackendError::Refused => self.lose_attempt(id, false).await,
             BackendError::Broken if is_call => self.lose_attempt(id, true).await,
+            // The server runs: it has not stopped sending.
+            BackendError::TooLong => {
+                let address = attempt.address;
+                log::warn!("relay: The response of the server at {address} is too long.");
+                self.lose_attempt(id, false).await;
+            }
             BackendError::Broken => self.resume_stream(now).await,
         }
     }
 
     async fn lose_attempt(&mut self, id: AttemptId, crashed: bool) {
-        if let Some(attempt) = self.attempt.as_ref().filter(|_| !crashed) {
+        if let Some(attempt) = self.attempt.as_ref().filter(|_| !crashed)
+            && matches!(self.payload, Payload::Prompt { .. })
+        {
             // The server may still run the attempt, although nothing reads its tokens any more.
-            let client = self.context.client.clone();
-            if matches!(self.payload, Payload::Prompt { .. }) {
-                tokio::spawn(backend::cancel(client, attempt.address, id));
-            }
+            tokio::spawn(backend::cancel(attempt.address, id));
         }
         let delivered = self.stream.delivered();
         self.end_attempt(id, Event::Lost { crashed, delivered })
--- a/crates/gateway/tests/late_copy.rs
+++ b/crates/gateway/tests/late_copy.rs
@@ -43,9 +43,8 @@
 #[tokio::test]
 async fn late_copy_of_a_response_is_not_taken_for_the_next_one() {
     let address = start_server().await;
-    let client = backend::client();
     for expected in 1..=3 {
-        let mut lines = backend::generate(client.clone(), address, b"{}".to_vec())
+        let mut lines = backend::generate(address, b"{}".to_vec())
             .await
             .expect("the server responds");
         while let Some(line) = lines.next().await.expect("the response is complete") {
--- a/crates/load/src/overhead.rs
+++ b/crates/load/src/overhead.rs
@@ -149,7 +149,7 @@
             if through_instance {
                 stream_through_instance(&client, address, marker).await
             } else {
-                stream_direct(&client, address, marker).await
+                stream_direct(address, marker).await
             }
         });
     }
@@ -207,11 +207,7 @@
 }
 
 /// Runs one stream directly from an engine.
-async fn stream_direct(
-    client: &HttpClient,
-    address: SocketAddr,
-    marker: Marker,
-) -> anyhow::Result<StreamTimings> {
+async fn stream_direct(address: SocketAddr, marker: Marker) -> anyhow::Result<StreamTimings> {
     let sent_at = Instant::now();
     let prompt = marker.to_text();
     let generate = GenerateRequest {
@@ -223,7 +219,7 @@
         prefixes: &[],
     };
     let body = serde_json::to_vec(&generate)?;
-    let opened = backend::generate(client.clone(), address, body).await;
+    let opened = backend::generate(address, body).await;
     let mut lines = opened.map_err(|fault| anyhow::anyhow!("{fault:?}"))?;
     let mut times = Vec::new();
     while let Ok(Some(StreamLine::Token(_))) = lines.next().await {
