Keep a few long events for a slow caller, not sixteen

What callers saw: the requests of others on an instance ended with it when it ran out of memory. A server that sends long events without end fills the queue of each caller that reads slowly or not at all.

Cause: the queue is limited to 16 events whatever their size, and an event had up to 256 KiB: 4 MiB for each stream, and twice as much in buffers that grow by doubling.

Events are read on only while less than 64 KiB are queued, and an event has at most 64 KiB; servers send up to a few KB.

--- a/crates/exchange/src/relay/streaming.rs
+++ b/crates/exchange/src/relay/streaming.rs
@@ -33,6 +33,9 @@
 /// Maximum number of events queued for a slow caller. While the queue is full, no more events are
 /// read from the server.
 const QUEUED_EVENTS_MAX: usize = 16;
+/// Number of bytes in queued events from which on no more events are read from the server either.
+/// Events have up to a few KB, but a faulty server may send longer ones.
+const QUEUED_BYTES_MAX: usize = 64 * 1_024;
 /// Number of events between two progress reports to the decider.
 const EVENTS_PER_REPORT: u32 = 8;
 /// Time without a new event after which the decider may resume a stream from its replica. A sound
@@ -150,8 +153,13 @@
         *self.silence.insert(self.silences)
     }
 
+    fn is_queue_full(&self) -> bool {
+        self.queue.len() >= QUEUED_EVENTS_MAX
+            || self.queue.iter().map(Bytes::len).sum::<usize>() >= QUEUED_BYTES_MAX
+    }
+
     fn send_queued(&mut self, permit: mpsc::Permit<'_, Result<Bytes, Truncated>>) {
-        if self.queue.len() >= QUEUED_EVENTS_MAX {
+        if self.is_queue_full() {
             // Nothing was read from the server while the caller was behind.
             self.progressed_at = Instant::now();
         }
@@ -305,7 +313,7 @@
                     Step::Continue
                 }
                 item = next_item(&mut forwarding.stream, silent_at),
-                    if forwarding.queue.len() < QUEUED_EVENTS_MAX =>
+                    if !forwarding.is_queue_full() =>
                 {
                     self.on_item(&mut forwarding, item).await
                 }
--- a/crates/exchange/src/sse.rs
+++ b/crates/exchange/src/sse.rs
@@ -4,7 +4,7 @@
 use bytes::BytesMut;
 
 /// Maximum size of an event in bytes. Engines send events of up to a few KB.
-const EVENT_BYTES_MAX: usize = 256 * 1_024;
+const EVENT_BYTES_MAX: usize = 64 * 1_024;
 
 /// A complete event.
 #[derive(Clone, Debug, Eq, PartialEq)]
