End generations of wigeond whose tokens have no end

What callers saw: nothing yet. A server that sends short, valid tokens without end fills the memory of its instance, since an answer is kept for its readers.

Cause: the size of one line was limited, not the number of lines.

An attempt whose answer exceeds the limit for answers (4 MiB) is given up and logged in one line. Lines that bring no new token no longer count as activity or end a row of resumes, and 4096 of them in a row count as a stall.

--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -38,8 +38,8 @@
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Longest line of a generation, in bytes.
 const LINE_BYTES_MAX: usize = 64 * 1_024;
-/// Maximum size of the body of a plain service's response, in bytes. It is kept whole, so a longer
-/// one fails the request.
+/// Maximum size of an answer, in bytes: the body of a plain service's response, or the tokens of a
+/// generation with what keeps them. It is kept whole, so a longer one fails the request.
 pub const ANSWER_BYTES_MAX: usize = 4 * 1_024 * 1_024;
 /// Maximum size of a server's report, in bytes.
 const REPORT_BYTES_MAX: usize = 256 * 1_024;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -47,11 +47,14 @@
 
 /// Number of tokens between two progress reports to the decider.
 const PROGRESS_REPORT_TOKENS: u32 = 32;
-/// Greatest number of resume attempts in a row without a line from the generation.
+/// Greatest number of resume attempts in a row without a new token.
 const RESUMES_MAX: u32 = 4;
 /// Delay before the first resume; it grows linearly with each further one in a row. Also the time
 /// after which opening a connection over a cut link fails.
 const RESUME_BACKOFF: Duration = Duration::from_millis(20);
+/// Maximum number of lines in a row that bring no new token. A server that repeats tokens without end
+/// is never silent.
+const REPEATED_LINES_MAX: u32 = 4_096;
 /// Longest wait for the response of a plain service.
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// Media type that is recorded for an answer made of tokens.
@@ -105,6 +108,8 @@
     /// Time from the start of the relay to the first token of the answer.
     time_to_first_token: Option<Duration>,
     last_token_at: Option<Time>,
+    /// Size of the tokens that are kept, in bytes.
+    answer_bytes: usize,
     /// Greatest time between two tokens of the answer so far.
     max_gap: Duration,
     ended: bool,
@@ -118,10 +123,12 @@
     boot: u64,
     link: Link,
     stall_detector: StallDetector,
-    /// Time of the last line, or of the start or last resume.
+    /// Time of the last line with a new token, or of the start or last resume.
     last_activity: Time,
-    /// Resumes in a row without a line from the generation.
+    /// Resumes in a row without a new token.
     resumes: u32,
+    /// Lines in a row without a new token.
+    repeated_lines: u32,
 }
 
 /// State of the connection of an attempt.
@@ -173,6 +180,7 @@
             started,
             time_to_first_token: None,
             last_token_at: None,
+            answer_bytes: 0,
             max_gap: Duration::ZERO,
             ended: false,
         }
@@ -225,6 +233,7 @@
                 return;
             }
             self.answer.discard_hidden();
+            self.answer_bytes = self.answer.bytes();
         } else {
             self.stream.bind(id);
         }
@@ -236,6 +245,7 @@
             stall_detector: StallDetector::default(),
             last_activity: self.context.clock.now(),
             resumes: 0,
+            repeated_lines: 0,
         });
     }
 
@@ -279,11 +289,7 @@
         };
         match event {
             LinkEvent::Opened(reader) => attempt.link = Link::Open(reader),
-            LinkEvent::Line(line) => {
-                attempt.last_activity = now;
-                attempt.resumes = 0;
-                self.on_line(line, now).await;
-            }
+            LinkEvent::Line(line) => self.on_line(line, now).await,
             LinkEvent::Answer(answer) => self.on_plain_answer(answer).await,
             LinkEvent::Closed | LinkEvent::TimedOut => self.resume_stream(now).await,
             LinkEvent::Failed(error) => self.on_error(error, now).await,
@@ -299,8 +305,17 @@
             StreamLine::Token(frame) => {
                 let token = frame.token.clone();
                 let disposition = self.stream.accept(id, frame);
-                if disposition != Disposition::Drop {
+                if disposition == Disposition::Drop {
+                    attempt.repeated_lines += 1;
+                    if attempt.repeated_lines > REPEATED_LINES_MAX {
+                        self.resume_stream(now).await;
+                        return;
+                    }
+                } else {
                     attempt.stall_detector.record(now);
+                    attempt.last_activity = now;
+                    attempt.resumes = 0;
+                    attempt.repeated_lines = 0;
                 }
                 self.on_disposition(id, disposition, token, now).await;
             }
@@ -327,10 +342,15 @@
     ) {
         match disposition {
             Disposition::Deliver => {
+                self.answer_bytes += token.len() + size_of::<CompactString>();
                 let visible = self.route.delivery == Delivery::Stream;
                 self.answer.push(token, visible);
                 self.record_token_times(now);
                 self.context.metrics.count_tokens(1, 0);
+                if self.answer_bytes > backend::ANSWER_BYTES_MAX {
+                    self.lose_too_long(id).await;
+                    return;
+                }
             }
             Disposition::Verified => {}
             Disposition::Drop => {
@@ -428,6 +448,7 @@
             return;
         }
         attempt.resumes += 1;
+        attempt.repeated_lines = 0;
         attempt.stall_detector.record_resume();
         attempt.last_activity = now;
         let (address, pause) = (attempt.address, RESUME_BACKOFF * attempt.resumes);
@@ -461,15 +482,20 @@
             BackendError::Refused => self.lose_attempt(id, false).await,
             BackendError::Broken if is_call => self.lose_attempt(id, true).await,
             // The server runs: it has not stopped sending.
-            BackendError::TooLong => {
-                let address = attempt.address;
-                log::warn!("relay: The response of the server at {address} is too long.");
-                self.lose_attempt(id, false).await;
-            }
+            BackendError::TooLong => self.lose_too_long(id).await,
             BackendError::Broken => self.resume_stream(now).await,
         }
     }
 
+    /// Gives an attempt up whose answer exceeds the maximum size.
+    async fn lose_too_long(&mut self, id: AttemptId) {
+        if let Some(attempt) = &self.attempt {
+            let address = attempt.address;
+            log::warn!("relay: The answer of the server at {address} is too long.");
+        }
+        self.lose_attempt(id, false).await;
+    }
+
     async fn lose_attempt(&mut self, id: AttemptId, crashed: bool) {
         if let Some(attempt) = self.attempt.as_ref().filter(|_| !crashed)
             && matches!(self.payload, Payload::Prompt { .. })
