--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -46,8 +46,9 @@
 /// Maximum number of bytes that a server may send without completing a part of its response: the
 /// head, with interim responses included, or more of the body.
 const PART_BYTES_MAX: usize = 64 * 1_024;
-/// Buffer size of a connection in bytes, near the minimum that hyper accepts.
-const CONNECTION_BUFFER_BYTES: usize = 16 * 1_024;
+/// Buffer size of a connection in bytes, near the minimum that hyper accepts. It must be below the
+/// limit of a part.
+pub const CONNECTION_BUFFER_BYTES: usize = 16 * 1_024;
 
 /// Reason why a request received no response.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -87,12 +88,41 @@
     }
 }
 
+/// Limits the bytes that the other side of a connection sends without completing a part of a
+/// response.
+///
+/// Hyper limits the size of one head, but not the number of interim responses or the size of what
+/// frames the body.
+#[derive(Clone, Debug, Default)]
+pub struct PartLimit {
+    /// Bytes that were received since the last part.
+    received: Arc<AtomicUsize>,
+}
+
+impl PartLimit {
+    /// Returns a stream whose reads fail beyond the limit.
+    pub fn observe(&self, stream: TcpStream) -> ObservedStream {
+        let received = self.received.clone();
+        ObservedStream::new(stream, move |read| {
+            let before = received.fetch_add(read, Ordering::Relaxed);
+            if before + read > PART_BYTES_MAX {
+                return Err(io::ErrorKind::InvalidData.into());
+            }
+            Ok(())
+        })
+    }
+
+    /// Records that a part of a response is complete: its head, or more of its body.
+    pub fn record_part(&self) {
+        self.received.store(0, Ordering::Relaxed);
+    }
+}
+
 /// The body of a server's response.
 #[derive(Debug)]
 pub struct ServerBody {
     incoming: Incoming,
-    /// Bytes that the server has sent since the last part of its response.
-    received: Arc<AtomicUsize>,
+    limit: PartLimit,
 }
 
 impl Body for ServerBody {
@@ -105,7 +135,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
         let frame = ready!(Pin::new(&mut self.incoming).poll_frame(context));
         if matches!(&frame, Some(Ok(frame)) if frame.is_data()) {
-            self.received.store(0, Ordering::Relaxed);
+            self.limit.record_part();
         }
         Poll::Ready(frame)
     }
@@ -154,17 +184,8 @@
         _ => ConnectionError::Unreachable,
     })?;
     detect_dead_peer(&stream);
-    let received = Arc::new(AtomicUsize::new(0));
-    let received_since_part = received.clone();
-    // Hyper limits the size of one head, but not the number of interim responses or the size of
-    // what frames the body.
-    let stream = ObservedStream::new(stream, move |read| {
-        let before = received_since_part.fetch_add(read, Ordering::Relaxed);
-        if before + read > PART_BYTES_MAX {
-            return Err(io::ErrorKind::InvalidData.into());
-        }
-        Ok(())
-    });
+    let limit = PartLimit::default();
+    let stream = limit.observe(stream);
     let handshake = http1::Builder::new()
         .max_buf_size(CONNECTION_BUFFER_BYTES)
         .handshake(TokioIo::new(stream));
@@ -178,8 +199,8 @@
         .send_request(request)
         .await
         .map_err(|_| ConnectionError::Lost)?;
-    received.store(0, Ordering::Relaxed);
-    let response = response.map(|incoming| ServerBody { incoming, received });
+    limit.record_part();
+    let response = response.map(|incoming| ServerBody { incoming, limit });
     Ok((guard, response))
 }
 
