--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -5,9 +5,9 @@
 //! silent for too long, and reports the progress and the end of each attempt to the decider.
 //! [`stream::Relay`] decides which tokens are accepted.
 
-use std::future::Future;
+mod link;
+
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -35,24 +35,28 @@
 use crate::answer::Ending;
 use crate::backend;
 use crate::backend::BackendError;
-use crate::backend::LineReader;
 use crate::backend::PlainAnswer;
 use crate::backend::StreamLine;
 use crate::decider::Decider;
 use crate::decider::HandleInput;
 use crate::decider::RelayCommand;
 use crate::decider::Relays;
-use crate::http::HttpClient;
 use crate::metrics::Metrics;
 use crate::partition::Partition;
+use crate::relay::link::Link;
+use crate::relay::link::LinkEvent;
+use crate::relay::link::next_link_event;
 
 /// Number of tokens between two progress reports to the decider.
 const PROGRESS_REPORT_TOKENS: u32 = 32;
-/// Greatest number of resume attempts in a row without a line from the generation.
+/// Greatest number of resume attempts in a row without a new token.
 const RESUMES_MAX: u32 = 4;
 /// Delay before the first resume; it grows linearly with each further one in a row. Also the time
 /// after which opening a connection over a cut link fails.
 const RESUME_BACKOFF: Duration = Duration::from_millis(20);
+/// Maximum number of lines in a row that bring no new token. A server that repeats tokens without end
+/// is never silent.
+const REPEATED_LINES_MAX: u32 = 4_096;
 /// Longest wait for the response of a plain service.
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// Media type that is recorded for an answer made of tokens.
@@ -83,8 +87,6 @@
     pub decider: Address<Decider>,
     /// The registry of all relays.
     pub relays: Arc<Relays>,
-    /// HTTP client for backend servers, made by [`backend::client`].
-    pub client: HttpClient,
     /// The clock for all timeouts and measured times.
     pub clock: Arc<dyn Clock>,
     /// Links that an experiment has cut.
@@ -108,6 +110,8 @@
     /// Time from the start of the relay to the first token of the answer.
     time_to_first_token: Option<Duration>,
     last_token_at: Option<Time>,
+    /// Size of the tokens that are kept, in bytes.
+    answer_bytes: usize,
     /// Greatest time between two tokens of the answer so far.
     max_gap: Duration,
     ended: bool,
@@ -121,36 +125,12 @@
     boot: u64,
     link: Link,
     stall_detector: StallDetector,
-    /// Time of the last line, or of the start or last resume.
+    /// Time of the last line with a new token, or of the start or last resume.
     last_activity: Time,
-    /// Resumes in a row without a line from the generation.
+    /// Resumes in a row without a new token.
     resumes: u32,
-}
-
-/// State of the connection of an attempt.
-enum Link {
-    /// An engine's stream is being opened, for a new generation or to resume one.
-    Opening(Pin<Box<dyn Future<Output = Result<LineReader, BackendError>> + Send>>),
-    /// The engine streams the lines of the generation.
-    Open(LineReader),
-    /// A plain service is being called.
-    Calling(Pin<Box<dyn Future<Output = Result<PlainAnswer, BackendError>> + Send>>),
-}
-
-/// An event on an attempt's link.
-enum LinkEvent {
-    /// The stream of an engine is open.
-    Opened(LineReader),
-    /// A line of the generation.
-    Line(StreamLine),
-    /// The response of a plain service.
-    Answer(PlainAnswer),
-    /// The connection was closed before the end of the generation.
-    Closed,
-    /// The link failed.
-    Failed(BackendError),
-    /// The link was idle for too long.
-    TimedOut,
+    /// Lines in a row without a new token.
+    repeated_lines: u32,
 }
 
 impl Relay {
@@ -176,6 +156,7 @@
             started,
             time_to_first_token: None,
             last_token_at: None,
+            answer_bytes: 0,
             max_gap: Duration::ZERO,
             ended: false,
         }
@@ -228,6 +209,7 @@
                 return;
             }
             self.answer.discard_hidden();
+            self.answer_bytes = self.answer.bytes();
         } else {
             self.stream.bind(id);
         }
@@ -239,6 +221,7 @@
             stall_detector: StallDetector::default(),
             last_activity: self.context.clock.now(),
             resumes: 0,
+            repeated_lines: 0,
         });
     }
 
@@ -254,24 +237,21 @@
                     prefixes: &self.request.prefixes,
                 };
                 let body = serde_json::to_vec(&generate).unwrap_or_default();
-                let client = self.context.client.clone();
-                Link::Opening(Box::pin(backend::generate(client, dispatch.address, body)))
+                Link::Opening(Box::pin(backend::generate(dispatch.address, body)))
             }
             Payload::Call { path, media, body } => {
-                let client = self.context.client.clone();
                 let (path, media, body) = (path.clone(), media.clone(), body.clone());
-                let call = backend::call(client, dispatch.address, path, media, body);
+                let call = backend::call(dispatch.address, path, media, body);
                 Link::Calling(Box::pin(call))
             }
         }
     }
 
     fn cancel(&mut self, id: AttemptId) {
-        if let Some(attempt) = self.attempt.take_if(|attempt| attempt.id == id) {
-            let client = self.context.client.clone();
-            if matches!(self.payload, Payload::Prompt { .. }) {
-                tokio::spawn(backend::cancel(client, attempt.address, id));
-            }
+        if let Some(attempt) = self.attempt.take_if(|attempt| attempt.id == id)
+            && matches!(self.payload, Payload::Prompt { .. })
+        {
+            tokio::spawn(backend::cancel(attempt.address, id));
         }
         if self.orphaned {
             self.fail_request(Reason::Lost);
@@ -285,11 +265,7 @@
         };
         match event {
             LinkEvent::Opened(reader) => attempt.link = Link::Open(reader),
-            LinkEvent::Line(line) => {
-                attempt.last_activity = now;
-                attempt.resumes = 0;
-                self.on_line(line, now).await;
-            }
+            LinkEvent::Line(line) => self.on_line(line, now).await,
             LinkEvent::Answer(answer) => self.on_plain_answer(answer).await,
             LinkEvent::Closed | LinkEvent::TimedOut => self.resume_stream(now).await,
             LinkEvent::Failed(error) => self.on_error(error, now).await,
@@ -305,8 +281,17 @@
             StreamLine::Token(frame) => {
                 let token = frame.token.clone();
                 let disposition = self.stream.accept(id, frame);
-                if disposition != Disposition::Drop {
+                if disposition == Disposition::Drop {
+                    attempt.repeated_lines += 1;
+                    if attempt.repeated_lines > REPEATED_LINES_MAX {
+                        self.resume_stream(now).await;
+                        return;
+                    }
+                } else {
                     attempt.stall_detector.record(now);
+                    attempt.last_activity = now;
+                    attempt.resumes = 0;
+                    attempt.repeated_lines = 0;
                 }
                 self.on_disposition(id, disposition, token, now).await;
             }
@@ -333,10 +318,15 @@
     ) {
         match disposition {
             Disposition::Deliver => {
+                self.answer_bytes += token.len() + size_of::<CompactString>();
                 let visible = self.route.delivery == Delivery::Stream;
                 self.answer.push(token, visible);
                 self.record_token_times(now);
                 self.context.metrics.count_tokens(1, 0);
+                if self.answer_bytes > backend::ANSWER_BYTES_MAX {
+                    self.lose_too_long(id).await;
+                    return;
+                }
             }
             Disposition::Verified => {}
             Disposition::Drop => {
@@ -424,7 +414,6 @@
     /// out. Gives the attempt up after [`RESUMES_MAX`] resumes, and at once if it is a plain call.
     async fn resume_stream(&mut self, now: Time) {
         let from = self.stream.next();
-        let client = self.context.client.clone();
         let Some(attempt) = &mut self.attempt else {
             return;
         };
@@ -435,12 +424,13 @@
             return;
         }
         attempt.resumes += 1;
+        attempt.repeated_lines = 0;
         attempt.stall_detector.record_resume();
         attempt.last_activity = now;
         let (address, pause) = (attempt.address, RESUME_BACKOFF * attempt.resumes);
         attempt.link = Link::Opening(Box::pin(async move {
             tokio::time::sleep(pause).await;
-            backend::resume(client, address, id, from).await
+            backend::resume(address, id, from).await
         }));
         self.context.metrics.count_resume();
     }
@@ -467,17 +457,27 @@
             BackendError::Unreachable => self.lose_attempt(id, true).await,
             BackendError::Refused => self.lose_attempt(id, false).await,
             BackendError::Broken if is_call => self.lose_attempt(id, true).await,
+            // The server runs: it has not stopped sending.
+            BackendError::TooLong => self.lose_too_long(id).await,
             BackendError::Broken => self.resume_stream(now).await,
         }
     }
 
+    /// Gives an attempt up whose answer exceeds the maximum size.
+    async fn lose_too_long(&mut self, id: AttemptId) {
+        if let Some(attempt) = &self.attempt {
+            let address = attempt.address;
+            log::warn!("relay: The answer of the server at {address} is too long.");
+        }
+        self.lose_attempt(id, false).await;
+    }
+
     async fn lose_attempt(&mut self, id: AttemptId, crashed: bool) {
-        if let Some(attempt) = self.attempt.as_ref().filter(|_| !crashed) {
+        if let Some(attempt) = self.attempt.as_ref().filter(|_| !crashed)
+            && matches!(self.payload, Payload::Prompt { .. })
+        {
             // The server may still run the attempt, although nothing reads its tokens any more.
-            let client = self.context.client.clone();
-            if matches!(self.payload, Payload::Prompt { .. }) {
-                tokio::spawn(backend::cancel(client, attempt.address, id));
-            }
+            tokio::spawn(backend::cancel(attempt.address, id));
         }
         let delivered = self.stream.delivered();
         self.end_attempt(id, Event::Lost { crashed, delivered })
@@ -544,51 +544,3 @@
         Outcome::Recorded(_) => ("answered", "recorded"),
     }
 }
-
-/// Waits for the next event on the attempt's link, or for its timeout.
-async fn next_link_event(attempt: &mut Option<Attempt>, context: Arc<RelayContext>) -> LinkEvent {
-    let Some(attempt) = attempt else {
-        return std::future::pending().await;
-    };
-    let limit = match attempt.link {
-        Link::Calling(_) => CALL_TIMEOUT,
-        _ => attempt.stall_detector.timeout(),
-    };
-    let remaining = (attempt.last_activity + limit).saturating_sub(context.clock.now());
-    let is_cut = context.partition.cuts(attempt.address);
-    let event = async {
-        if is_cut {
-            let is_opening = matches!(attempt.link, Link::Opening(_));
-            return cut_link_event(is_opening).await;
-        }
-        match &mut attempt.link {
-            Link::Opening(opening) => match opening.await {
-                Ok(reader) => LinkEvent::Opened(reader),
-                Err(error) => LinkEvent::Failed(error),
-            },
-            Link::Open(reader) => match reader.next().await {
-                Ok(Some(line)) => LinkEvent::Line(line),
-                Ok(None) => LinkEvent::Closed,
-                Err(error) => LinkEvent::Failed(error),
-            },
-            Link::Calling(calling) => match calling.await {
-                Ok(answer) => LinkEvent::Answer(answer),
-                Err(error) => LinkEvent::Failed(error),
-            },
-        }
-    };
-    match tokio::time::timeout(remaining, event).await {
-        Ok(event) => event,
-        Err(_) => LinkEvent::TimedOut,
-    }
-}
-
-/// Returns the event of a link that an experiment has cut: opening a connection fails, and an open
-/// one never yields anything.
-async fn cut_link_event(is_opening: bool) -> LinkEvent {
-    if is_opening {
-        tokio::time::sleep(RESUME_BACKOFF).await;
-        return LinkEvent::Failed(BackendError::Unreachable);
-    }
-    std::future::pending().await
-}
