Review: requests that wait for a silent coordinator are never answered

The case on memory is dropped, since case 2 of the earlier review shows the same. The case on requests that crash their runners is now case 7.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/standin ] || exit 2
 [ -x target/release/wigeonjunction ] || exit 2
-exec target/review-2/standin memory target/release/wigeonjunction review/7/record.txt
+exec target/review-2/standin poison target/release/wigeonjunction review/7/record.txt
--- a/review/standin-2/client.rs
+++ b/review/standin-2/client.rs
@@ -2,6 +2,7 @@
 
 use std::io::BufReader;
 use std::io::Write;
+use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::time::Duration;
@@ -11,11 +12,14 @@
 
 /// Time that a client allows for a new connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time that a client waits for a letter.
-const DEADLINE: Duration = Duration::from_millis(39_000);
 
-/// A letter to be drafted.
+/// A request for a generation.
 pub struct Letter<'a> {
+    pub path: &'a str,
+    /// Tokens of the prompt and most tokens of the output.
+    pub tokens: &'a str,
+    /// How long the client waits.
+    pub deadline: Duration,
     /// Id of this client attempt.
     pub attempt: &'a str,
     /// The parts of the prompt.
@@ -31,18 +35,26 @@
     http::read_message(&mut BufReader::new(stream))
 }
 
-/// Sends a letter and returns the answer, or `None` if the connection ended before its head.
+/// Sends a request and returns the answer. Returns `None` if the connection ended before its head,
+/// or the time of the client was over.
 pub fn send(address: SocketAddr, letter: &Letter<'_>) -> Option<Message> {
     let mut stream = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT).ok()?;
     let _ = stream.set_nodelay(true);
-    stream.set_read_timeout(Some(DEADLINE)).ok()?;
+    let leaving = stream.try_clone().ok()?;
+    let deadline = letter.deadline;
+    std::thread::spawn(move || {
+        std::thread::sleep(deadline);
+        let _ = leaving.shutdown(Shutdown::Both);
+    });
     let head = format!(
-        "POST /letters/2f HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: {}\r\nX-Model: m\r\n\
-         X-Token-Counts: 3000,600\r\nX-Prompt-Prefix: {}\r\nX-Deadline-Ms: {}\r\n\
+        "POST {} HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: {}\r\nX-Model: m\r\n\
+         X-Token-Counts: {}\r\nX-Prompt-Prefix: {}\r\nX-Deadline-Ms: {}\r\n\
          Authorization: Bearer key-1\r\nConnection: close\r\nContent-Length: {}\r\n\r\n",
+        letter.path,
         letter.attempt,
+        letter.tokens,
         letter.parts,
-        DEADLINE.as_millis(),
+        letter.deadline.as_millis(),
         letter.body.len()
     );
     stream.write_all(head.as_bytes()).ok()?;
@@ -50,11 +62,15 @@
     http::read_message(&mut BufReader::new(stream))
 }
 
-/// The operator's configuration: one route for letters, which may run once at most.
+/// The operator's configuration: a route for letters, which may run once at most, and one for tags,
+/// which may be resumed and are kept waiting for 4 s at most.
 pub const CONFIG: &str = "{\"version\":3,\"routes\":[{\"name\":\"letters\",\"host\":\"shop.example\",\
     \"prefix\":\"/letters/\",\"kind\":\"stream\",\"timeout_ms\":39000,\"goal_ms\":1800,\"priority\":1,\
     \"service\":\"redacteurs\",\"attempts\":1,\"anonymous\":false,\"sticky\":true,\"resumable\":false,\
-    \"gap_aim_ms\":180}],\"services\":[{\"name\":\"redacteurs\",\"cold_per_s\":25,\"engine\":\
+    \"gap_aim_ms\":180},{\"name\":\"tags\",\"host\":\"shop.example\",\"prefix\":\"/tags/\",\
+    \"kind\":\"stream\",\"timeout_ms\":4000,\"goal_ms\":1500,\"priority\":0,\
+    \"service\":\"redacteurs\",\"attempts\":2,\"anonymous\":false,\"sticky\":true,\
+    \"resumable\":true,\"gap_aim_ms\":180}],\"services\":[{\"name\":\"redacteurs\",\"cold_per_s\":25,\"engine\":\
     {\"slots\":24,\"kv_tokens\":34306,\"backups\":false,\"stride\":4}}],\"limits\":\
     {\"header_bytes\":16384,\"body_bytes\":4194304,\"header_ms\":3000,\"idle_ms\":15000},\
     \"tenants\":[{\"name\":\"huka270\",\"api_keys\":[\"key-1\"]}]}";
--- a/review/standin-2/daemon.rs
+++ b/review/standin-2/daemon.rs
@@ -130,13 +130,12 @@
         }
     }
 
-    /// Returns the memory that the process uses, in bytes.
-    pub fn resident_bytes(&self) -> Option<u64> {
-        let id = self.child.as_ref()?.id();
-        let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
-        let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
-        let kilobytes: u64 = line.split_whitespace().nth(1)?.parse().ok()?;
-        Some(kilobytes * 1_024)
+    /// Returns whether the last word of the log is that the instance coordinates the runners' pool.
+    pub fn is_coordinator(&self) -> bool {
+        let log = std::fs::read_to_string(&self.log).unwrap_or_default();
+        let began = log.rfind("Became the coordinator of pool redacteurs");
+        let ended = log.rfind("Stopped being the coordinator of pool redacteurs");
+        began > ended
     }
 }
 
--- a/review/standin-2/engine.rs
+++ b/review/standin-2/engine.rs
@@ -21,15 +21,26 @@
 const BEAT: Duration = Duration::from_millis(1_200);
 /// Beats of silence after which the entry is removed.
 const SILENT_BEATS: u32 = 3;
-/// Time that a runner that has crashed takes to come back.
-const DOWN_TIME: Duration = Duration::from_secs(2);
 /// Time until a run begins.
 const PROMPT_TIME: Duration = Duration::from_millis(60);
 /// Time between two checks whether a connection arrives.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(4);
+/// Time for which a runner that has come back is cold, in milliseconds.
+const COLD_MS: u32 = 1_000;
 /// A request whose body begins so crashes each runner that begins to run it.
 pub const CRASHING_BODY: &str = "crash";
 
+/// How a runner starts again after a crash.
+#[derive(Clone, Copy)]
+pub struct Restart {
+    /// Time until it is back.
+    pub after: Duration,
+    /// Whether it comes back under the id that it had.
+    pub keeps_id: bool,
+    /// Time from its start until it first writes its entry. It writes at each beat.
+    pub first_beat: Duration,
+}
+
 /// How a runner streams.
 #[derive(Clone, Copy)]
 pub struct Pace {
@@ -64,8 +75,10 @@
 pub struct Engine {
     name: String,
     zone: &'static str,
+    version: &'static str,
     address: SocketAddr,
     pace: Pace,
+    restart: Restart,
     store: Store,
     record: Arc<Record>,
     state: Mutex<State>,
@@ -74,8 +87,9 @@
 impl Engine {
     pub fn start(
         name: &str,
-        zone: &'static str,
+        (zone, version): (&'static str, &'static str),
         pace: Pace,
+        restart: Restart,
         store: &Store,
         record: &Arc<Record>,
     ) -> Arc<Engine> {
@@ -83,8 +97,10 @@
         let engine = Arc::new(Engine {
             name: name.to_string(),
             zone,
+            version,
             address: listener.local_addr().expect("the listener is bound"),
             pace,
+            restart,
             store: store.clone(),
             record: record.clone(),
             state: Mutex::default(),
@@ -115,69 +131,84 @@
             listener
                 .set_nonblocking(true)
                 .expect("the listener is open");
-            let id = self.begin();
-            self.clone().spawn_beats(id.clone());
-            while self.is_up(&id) {
+            let (id, start) = self.begin();
+            self.clone().spawn_beats(id.clone(), start);
+            while self.is_up(start) {
                 match listener.accept() {
                     Ok((stream, _)) => {
                         let _ = stream.set_nonblocking(false);
                         let (engine, id) = (self.clone(), id.clone());
-                        std::thread::spawn(move || engine.serve(stream, &id));
+                        std::thread::spawn(move || engine.serve(stream, &id, start));
                     }
                     Err(_) => std::thread::sleep(ACCEPT_PAUSE),
                 }
             }
             drop(listener);
-            std::thread::sleep(DOWN_TIME);
+            std::thread::sleep(self.restart.after);
         }
     }
 
-    fn begin(&self) -> String {
+    fn begin(&self) -> (String, u32) {
         let mut state = self.state.lock().unwrap();
         state.starts += 1;
-        state.id = format!("i-{}-{}", self.name, state.starts);
+        state.id = match self.restart.keeps_id {
+            true => format!("i-{}", self.name),
+            false => format!("i-{}-{}", self.name, state.starts),
+        };
         state.born = SystemTime::now()
             .duration_since(UNIX_EPOCH)
             .map_or(0, |time| time.as_millis());
         state.is_up = true;
         state.seq = 0;
-        state.id.clone()
+        (state.id.clone(), state.starts)
     }
 
-    fn is_up(&self, id: &str) -> bool {
+    fn is_up(&self, start: u32) -> bool {
         let state = self.state.lock().unwrap();
-        state.is_up && state.id == id
+        state.is_up && state.starts == start
     }
 
     /// Writes the entry of one start at each beat, and removes it after some beats of silence.
-    fn spawn_beats(self: Arc<Engine>, id: String) {
+    fn spawn_beats(self: Arc<Engine>, id: String, start: u32) {
         std::thread::spawn(move || {
+            if start > 1 {
+                std::thread::sleep(self.restart.first_beat);
+            }
             let key = format!("servers/{id}");
-            while self.is_up(&id) {
+            while self.is_up(start) {
                 let entry = {
                     let mut state = self.state.lock().unwrap();
                     state.seq += 1;
+                    let cold_ms = if start > 1 && state.seq == 1 {
+                        COLD_MS
+                    } else {
+                        0
+                    };
                     format!(
                         "{{\"service\":\"redacteurs\",\"address\":\"{}\",\"zone\":\"{}\",\
-                         \"version\":\"1\",\"slots\":24,\"state\":\"ready\",\"cold_left_ms\":0,\
-                         \"seq\":{},\"born\":{}}}",
-                        self.address, self.zone, state.seq, state.born
+                         \"version\":\"{}\",\"slots\":24,\"state\":\"ready\",\
+                         \"cold_left_ms\":{},\"seq\":{},\"born\":{}}}",
+                        self.address, self.zone, self.version, cold_ms, state.seq, state.born
                     )
                 };
                 self.store.put(&key, &entry);
                 std::thread::sleep(BEAT);
             }
             std::thread::sleep(BEAT * (SILENT_BEATS - 1));
-            self.store.remove(&key);
+            if !self.restart.keeps_id {
+                self.store.remove(&key);
+            }
         });
     }
 
-    fn crash(&self, id: &str) {
+    /// Ends the runner as a crash does.
+    pub fn crash(&self) {
         let mut state = self.state.lock().unwrap();
-        if state.id != id || !state.is_up {
+        if !state.is_up {
             return;
         }
         state.is_up = false;
+        let id = state.id.clone();
         let lost = state.running.len();
         state.running.clear();
         for connection in state.connections.drain(..) {
@@ -188,21 +219,21 @@
             .add(format!("runner {id} crashes, {lost} runs are lost"));
     }
 
-    fn serve(&self, stream: TcpStream, id: &str) {
+    fn serve(&self, stream: TcpStream, id: &str, start: u32) {
         let _ = stream.set_nodelay(true);
         let (Ok(kept), Ok(mut writer)) = (stream.try_clone(), stream.try_clone()) else {
             return;
         };
         {
             let mut state = self.state.lock().unwrap();
-            if !state.is_up || state.id != id {
+            if !state.is_up || state.starts != start {
                 return;
             }
             state.connections.push(kept);
         }
         let mut reader = BufReader::new(stream);
         while let Some(request) = http::read_message(&mut reader) {
-            if !request.is_complete || !self.is_up(id) {
+            if !request.is_complete || !self.is_up(start) {
                 return;
             }
             let (method, target) = request.method_and_target();
@@ -219,7 +250,7 @@
                 }
                 ("POST", "/kv-move") => self.stop_run(&mut writer, &request.body),
                 ("DELETE", _) => http::respond(&mut writer, 200, "", ""),
-                _ => self.run(&mut writer, id, &request),
+                _ => self.run(&mut writer, id, start, &request),
             };
             if answered.is_err() {
                 return;
@@ -261,6 +292,7 @@
         &self,
         writer: &mut TcpStream,
         id: &str,
+        start: u32,
         request: &http::Message,
     ) -> std::io::Result<()> {
         let Some(attempt) = request.field("x-attempt-id").map(str::to_string) else {
@@ -277,7 +309,7 @@
         let crashes = request.body.starts_with(CRASHING_BODY.as_bytes());
         {
             let mut state = self.state.lock().unwrap();
-            if state.id != id || !state.is_up {
+            if state.starts != start || !state.is_up {
                 return Err(std::io::ErrorKind::ConnectionReset.into());
             }
             state.running.insert(attempt.clone());
@@ -291,23 +323,33 @@
         if crashes {
             self.record
                 .add(format!("runner {id} begins to run {attempt}"));
-            self.crash(id);
+            self.crash();
             return Err(std::io::ErrorKind::ConnectionReset.into());
         }
-        let streamed = self.stream(writer, id, &attempt);
+        let after = request
+            .field("last-event-id")
+            .and_then(|id| id.parse().ok());
+        let streamed = self.stream(writer, (id, start), &attempt, after.unwrap_or(0));
         self.state.lock().unwrap().running.remove(&attempt);
         streamed
     }
 
-    fn stream(&self, writer: &mut TcpStream, id: &str, attempt: &str) -> std::io::Result<()> {
+    /// Streams the events after a given one.
+    fn stream(
+        &self,
+        writer: &mut TcpStream,
+        (id, start): (&str, u32),
+        attempt: &str,
+        after: u32,
+    ) -> std::io::Result<()> {
         let head = format!(
             "HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nX-Response-Stamp: {id}.{attempt}\r\n\
              Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
         );
         writer.write_all(head.as_bytes())?;
-        for number in 1..=self.pace.events {
+        for number in after + 1..=self.pace.events {
             let is_stopped = self.state.lock().unwrap().stopped.remove(attempt);
-            if is_stopped || !self.is_up(id) {
+            if is_stopped || !self.is_up(start) {
                 return Err(std::io::ErrorKind::ConnectionReset.into());
             }
             let event = format!("id: {number}\ndata: words of event {number}\n\n");
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -1,14 +1,14 @@
 //! Stand-ins for the platform's store, runners and clients, and the scripts of the cases of the second
 //! review. Standard library only, so that it is built by the compiler alone.
 //!
-//! Usage: standin CASE PROGRAM RECORD, with CASE one of `poison` and `memory`. The variable TROUBLE=0
+//! Usage: standin CASE PROGRAM RECORD, with CASE one of `hang` and `poison`. The variable TROUBLE=0
 //! leaves the disruption out. Exit code 0: the rule held, 1: it was broken, 2: the case could not run.
 
 mod client;
 mod daemon;
 mod engine;
+mod hang;
 mod http;
-mod memory;
 mod poison;
 mod record;
 mod store;
@@ -46,7 +46,7 @@
     };
     let result = match arguments[1].as_str() {
         "poison" => poison::run(&case),
-        "memory" => memory::run(&case),
+        "hang" => hang::run(&case),
         other => Err(format!("no case {other}")),
     };
     let code = match result {
--- a/review/standin-2/poison.rs
+++ b/review/standin-2/poison.rs
@@ -12,6 +12,7 @@
 use crate::engine;
 use crate::engine::Engine;
 use crate::engine::Pace;
+use crate::engine::Restart;
 use crate::record::Record;
 use crate::store::Store;
 
@@ -32,10 +33,17 @@
 const RESTART_DELAY: Duration = Duration::from_millis(700);
 /// Time between two letters of other clients.
 const LETTER_PERIOD: Duration = Duration::from_millis(120);
+/// Time that a client waits for a letter.
+const DEADLINE: Duration = Duration::from_millis(39_000);
 const PACE: Pace = Pace {
     events: 60,
     gap: Duration::from_millis(25),
 };
+const RESTART: Restart = Restart {
+    after: Duration::from_secs(2),
+    keeps_id: false,
+    first_beat: Duration::ZERO,
+};
 
 /// A send of the request that crashes runners.
 struct Send {
@@ -60,7 +68,14 @@
     for zone in ZONES {
         for number in 0..ENGINES_PER_ZONE {
             let name = format!("{}{number}", zone.chars().last().unwrap_or('x'));
-            engines.push(Engine::start(&name, zone, PACE, &store, record));
+            engines.push(Engine::start(
+                &name,
+                (zone, "1"),
+                PACE,
+                RESTART,
+                &store,
+                record,
+            ));
         }
     }
     let mut daemons = Vec::new();
@@ -114,6 +129,9 @@
             process_age: sent_at - daemon.started_at,
         });
         let letter = Letter {
+            path: "/letters/2f",
+            tokens: "3000,600",
+            deadline: DEADLINE,
             attempt: &attempt,
             parts: "0badc0de:3000",
             body: engine::CRASHING_BODY.as_bytes(),
@@ -194,6 +212,9 @@
                 let parts = format!("5c1e07a2:47,{number:x}:2953");
                 let body = format!("{{\"quote\":{number}}}");
                 let letter = Letter {
+                    path: "/letters/2f",
+                    tokens: "3000,600",
+                    deadline: DEADLINE,
                     attempt: &attempt,
                     parts: &parts,
                     body: body.as_bytes(),
