Review: case 6 with an evacuated zone in place of a release

The streams have nowhere else to go as the other zone is evacuated, which needs no knowledge of how versions are kept apart.

--- a/review/standin-2/hang.rs
+++ b/review/standin-2/hang.rs
@@ -1,5 +1,5 @@
-//! The coordinator of a zone's runners is killed, and the runners of the zone, the last ones with the old
-//! version of their software, start again under the ids that they had.
+//! One of two zones is evacuated. The coordinator of the other zone's runners is killed as these come back
+//! under the ids that they had.
 
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -18,15 +18,19 @@
 
 /// Zones of the instances.
 const ZONES: [&str; 4] = ["qc-centre-a", "qc-centre-a", "qc-centre-b", "qc-centre-b"];
+/// The operator's record that evacuates the second zone.
+const EVACUATION: &str = "op/evacuate/qc-centre-b";
+/// Time from the evacuation to the first tag.
+const EVACUATION_TIME: Duration = Duration::from_millis(2_000);
 /// The runners, with zone and version.
 const ENGINES: [(&str, (&str, &str)); 4] = [
     ("a1", ("qc-centre-a", "1")),
     ("a2", ("qc-centre-a", "1")),
-    ("b1", ("qc-centre-b", "2")),
-    ("b2", ("qc-centre-b", "2")),
+    ("b1", ("qc-centre-b", "1")),
+    ("b2", ("qc-centre-b", "1")),
 ];
-/// Runners that start again.
-const OLD_ENGINES: usize = 2;
+/// Runners that start again: those of the first zone.
+const RESTARTED: usize = 2;
 const MEMORY_MB: u32 = 110;
 const CONTACT: Duration = Duration::from_millis(3_000);
 /// The route's `timeout_ms`, and the time after it within which a request has its answer.
@@ -88,6 +92,9 @@
         daemon.wait_until_ready()?;
     }
     std::thread::sleep(CONTACT + Duration::from_millis(500));
+    store.put(EVACUATION, "{}");
+    record.add("the second zone is evacuated".to_string());
+    std::thread::sleep(EVACUATION_TIME);
     let coordinator = (0..2).find(|index| daemons[*index].is_coordinator());
     let coordinator = coordinator.ok_or("no instance says that it coordinates the runners")?;
     let other = 1 - coordinator;
@@ -115,10 +122,12 @@
             killed.name
         ));
         killed.kill();
-        engines[..OLD_ENGINES]
+        engines[..RESTARTED]
             .iter()
             .for_each(|engine| engine.crash());
     });
+    store.remove(EVACUATION);
+    record.add("the second zone is taken back".to_string());
     Ok(judge(record, &ends))
 }
 
