Suspects: tell crashes before the start of the process apart

A process that has just started is told by others, or by a record, of crashes that happened before its clock began. Their times were cut at zero, so that all of them were one episode, and a request or a part that is barred elsewhere was let run. Ruled out: the ages in the findings, which are right to the millisecond. A table's times now have an origin that lies before all evidence that is kept.

Before: crashes_before_the_start_of_the_process_are_told_apart finds the request clear. After: it is barred for the 6 s that are left of the bar.

--- a/crates/suspect/src/table.rs
+++ b/crates/suspect/src/table.rs
@@ -38,6 +38,8 @@
 /// Time for which it is remembered that a subject without crashes is sound. A crash may be reported
 /// late.
 const SOUND_RETENTION: Duration = Duration::from_secs(30);
+/// Offset of the times in a table. Evidence may be older than the process, whose clock begins at zero.
+const ORIGIN: Duration = BAR_TIME_MAX.saturating_add(RETENTION);
 /// Maximum number of subjects that a table keeps.
 const SUBJECTS_MAX: usize = 8_192;
 /// Maximum number of crashes that are kept of one subject.
@@ -197,6 +199,8 @@
 #[derive(Debug)]
 pub struct Table {
     rule: Rule,
+    /// The evidence. Its times, like those of the verdicts, are later than the caller's by
+    /// [`ORIGIN`].
     subjects: BTreeMap<Subject, Record>,
     /// When the newest bar of each subject ends that was barred and is not cleared.
     verdicts: BTreeMap<Subject, Time>,
@@ -329,6 +333,7 @@
     /// Adds a finding of this or another instance. Returns whether it was news: a crash that was not
     /// known, or a sound run that refutes crashes.
     pub fn merge(&mut self, now: Time, finding: &Finding) -> bool {
+        let now = now + ORIGIN;
         let at = now.saturating_sub(finding.age);
         let is_news = match finding.evidence {
             Evidence::Crash { server, request } => {
@@ -358,7 +363,9 @@
     pub fn status(&self, now: Time, subject: Subject) -> Status {
         match self.verdicts.get(&subject) {
             None => Status::Clear,
-            Some(until) if now < *until => Status::Barred { until: *until },
+            Some(until) if now + ORIGIN < *until => Status::Barred {
+                until: until.saturating_sub(ORIGIN),
+            },
             Some(_) => Status::OnTrial,
         }
     }
@@ -373,6 +380,7 @@
     /// Returns the servers that crashed under runs with a subject since its last sound run, by their
     /// hashes, with the time since then.
     pub fn crashes(&self, now: Time, subject: Subject) -> Vec<(u64, Duration)> {
+        let now = now + ORIGIN;
         let until = self.verdicts.get(&subject).copied();
         let record = self.subjects.get(&subject);
         let record = record.filter(|record| now < record.expires_at(until));
@@ -394,13 +402,18 @@
 
     /// Returns the changes of verdicts since the last call.
     pub fn take_changes(&mut self) -> Vec<Change> {
-        std::mem::take(&mut self.changes)
+        let mut changes = std::mem::take(&mut self.changes);
+        for change in &mut changes {
+            change.barred_until = change.barred_until.map(|at| at.saturating_sub(ORIGIN));
+        }
+        changes
     }
 
     /// Returns findings to gossip, at most [`PART_FINDINGS_MAX`], those of the subjects that were
     /// gossiped least first. Those of barred subjects are always among the candidates, for instances
     /// that were cut off or have just started.
     pub fn take_gossip(&mut self, now: Time) -> Vec<Finding> {
+        let now = now + ORIGIN;
         let mut candidates: Vec<(u32, Subject)> = self
             .subjects
             .iter()
--- a/crates/suspect/tests/requests.rs
+++ b/crates/suspect/tests/requests.rs
@@ -275,3 +275,21 @@
     }
     assert!(is_barred(&table, after(2_000), REQUEST));
 }
+
+/// Guards against forgetting a bar in a process that has just started: the crashes that it is told of
+/// happened before its clock began.
+#[test]
+fn crashes_before_the_start_of_the_process_are_told_apart() {
+    let mut table = Table::new(REQUESTS);
+    let now = Duration::from_millis(300);
+    for (server, age_s) in [(1, 12), (2, 8), (3, 4)] {
+        let request = REQUEST;
+        let finding = Finding {
+            age: Duration::from_secs(age_s),
+            ..Finding::new(REQUEST, Evidence::Crash { server, request })
+        };
+        table.merge(now, &finding);
+    }
+    let until = now + Duration::from_secs(6);
+    assert_eq!(table.status(now, REQUEST), Status::Barred { until });
+}
