Placement: no request is left without a timer

Callers of 10 of 32 streams with a timeout of 4 s had neither an event nor an end 0.5 s after it, and until they left, although both engines were back within a second. Their coordinator was silent, and the engines were listed with the boot before.

Cause: place_by_fallback ignored that the dispatch was refused. The search for a server asked the list, the dispatch the boot of the last report, for which the list has no software version. The timer was popped and none set. Ruled out: a deadline that is computed anew for each retry (it is capped), and an end that does not reach the relay (the decider has no line of one).

Sending a job to a server now has a result that can't be ignored, and the search applies the check of the dispatch. That a job has a timer is an invariant, checked after each input in tests, and counted, logged and repaired in service. A stream that has begun waits up to 2 s longer, within its timeout, for servers that are back and not listed yet. A placement by the other policies ended in the same way when a configuration had removed the pool.

--- a/crates/core/src/baseline.rs
+++ b/crates/core/src/baseline.rs
@@ -14,7 +14,7 @@
 
 use crate::instance::Instance;
 use crate::job::Job;
-use crate::job::Phase;
+use crate::lifecycle::Dispatched;
 use crate::message::ListedServer;
 use crate::message::Output;
 use crate::settings::Policy;
@@ -44,6 +44,8 @@
         let pool_name = job.route.pool.clone();
         let avoid = job.avoid.clone();
         let Some(pool) = self.config().pools.get(&pool_name).cloned() else {
+            // The configuration may bring the pool back before the deadline.
+            self.set_timer(id, self.now + NO_SERVER_PAUSE);
             return;
         };
         let mut servers = self.eligible_servers(job, &pool);
@@ -56,14 +58,14 @@
             Policy::RoundRobin | Policy::Coordinator => self.next_round_robin(&servers),
         };
         match chosen {
-            Some(server) => self.dispatch_to(id, &server),
-            None => self.set_timer(id, self.now + NO_SERVER_PAUSE),
+            Some(server) if self.dispatch_to(id, &server) != Dispatched::Refused => {}
+            _ => self.set_timer(id, self.now + NO_SERVER_PAUSE),
         }
     }
 
     /// Dispatches a request to a warm server of which this instance uses less than its fallback
     /// share. The shares of all instances together are half of the server's batch. Returns whether
-    /// there was such a server; if not, some servers are probed for the next try.
+    /// nothing more is to be done for the request now; if not, some servers are probed for the next try.
     pub(crate) fn place_by_fallback(&mut self, id: RequestId) -> bool {
         let Some(job) = self.jobs.get(&id) else {
             return false;
@@ -82,8 +84,9 @@
         let found = servers.iter().find(|server| {
             self.is_warm_with_capacity(&server.name, &pool) && self.running_on(&server.name) < share
         });
-        if let Some(server) = found.cloned() {
-            self.dispatch_to(id, &server);
+        if let Some(server) = found.cloned()
+            && self.dispatch_to(id, &server) != Dispatched::Refused
+        {
             return true;
         }
         self.rng.shuffle(&mut servers);
@@ -188,14 +191,12 @@
     }
 
     /// Dispatches a request to a server without a coordinator's grant.
-    pub(crate) fn dispatch_to(&mut self, id: RequestId, server: &ListedServer) {
-        let Some(job) = self.jobs.get_mut(&id) else {
-            return;
+    pub(crate) fn dispatch_to(&mut self, id: RequestId, server: &ListedServer) -> Dispatched {
+        let Some(job) = self.jobs.get(&id) else {
+            return Dispatched::Settled;
         };
-        job.phase = Phase::Waiting;
         let work = job.work(0);
-        let reported = self.baseline.loads.get(&server.name).map(|l| l.1.boot);
-        let boot = reported.unwrap_or(server.boot);
+        let boot = self.newest_boot(server);
         let grant = Grant {
             attempt: self.rng.u64(1..),
             server: server.name.clone(),
@@ -205,6 +206,6 @@
             age_ms: 0,
             replica: None,
         };
-        self.dispatch(id, &server.data_centre, &grant);
+        self.dispatch(id, &server.data_centre, &grant)
     }
 }
--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -62,6 +62,8 @@
     EndedTwice,
     /// An older version of the configuration replaced a newer one.
     ConfigReverted,
+    /// A request that has not ended was left without a timer.
+    MissingTimer,
 }
 
 impl Violation {
@@ -72,6 +74,7 @@
             Violation::RepeatedRun => "repeated-run",
             Violation::EndedTwice => "ended-twice",
             Violation::ConfigReverted => "config-reverted",
+            Violation::MissingTimer => "missing-timer",
         }
     }
 }
@@ -122,6 +125,8 @@
     pub(crate) attempt_requests: BTreeMap<AttemptId, RequestId>,
     /// The due times of the jobs' timers, in order.
     pub(crate) timers: BTreeSet<(Time, RequestId)>,
+    /// When jobs without a timer are searched for next.
+    pub(crate) next_timer_search: Time,
     pub(crate) coordinator: Coordinator,
     /// Retry budgets by pool.
     pub(crate) retry_budgets: BTreeMap<Name, Budget>,
@@ -176,6 +181,7 @@
             jobs: BTreeMap::new(),
             attempt_requests: BTreeMap::new(),
             timers: BTreeSet::new(),
+            next_timer_search: Time::ZERO,
             coordinator: Coordinator::default(),
             retry_budgets: BTreeMap::new(),
             length_estimator: Estimator::default(),
@@ -243,6 +249,7 @@
         self.process_own_decisions();
         self.run_timers();
         self.process_own_decisions();
+        self.check_timers();
         std::mem::take(&mut self.out)
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -48,6 +48,7 @@
 //! - `copies`: copies of running generations' KV memory, and resuming from them.
 //! - `origins`: continuing streams only at the software version that began them.
 //! - `evidence`: the record of evidence in the platform's store.
+//! - `timers`: the timers of jobs, of which none may be missing.
 //! - `silence`: attempts whose server is silent.
 //! - `local`: choosing a server without a coordinator, for lightly loaded plain services.
 //! - `listing`: the list of backend servers and its distribution within a data centre.
@@ -95,6 +96,7 @@
 mod silence;
 mod suspects;
 mod tables;
+mod timers;
 mod transfer;
 
 pub use crate::instance::Instance;
--- a/crates/core/src/lifecycle.rs
+++ b/crates/core/src/lifecycle.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use clock::Time;
 use conf::Delivery;
 use conf::Pool;
 use slo::Sample;
@@ -50,6 +49,9 @@
 const LEAVING_RESUME_WINDOW: Duration = Duration::from_millis(900);
 /// Pause before an attempt is made again that was not sent because an earlier run may still go on.
 const POSTPONED_PAUSE: Duration = Duration::from_millis(50);
+/// Time for which a stream that has begun waits longer than other requests. A server that has restarted
+/// is listed with its new boot, and so with its software version, up to this much later.
+const RELISTING_TIME: Duration = Duration::from_secs(2);
 /// Pause before a suspect request is retried, so that the strikes of the same crash have reached
 /// all instances.
 const SUSPECT_RETRY_PAUSE: Duration = Duration::from_millis(300);
@@ -57,6 +59,18 @@
 /// that part end in this time, in a crash or in output.
 const ACCUSED_RETRY_PAUSE: Duration = Duration::from_millis(1_000);
 
+/// What came of sending a job to a server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[must_use = "a job that is refused needs another server or a timer"]
+pub(crate) enum Dispatched {
+    /// An attempt was dispatched.
+    Sent,
+    /// The server may not be given the job. The job is as it was.
+    Refused,
+    /// The job may not run again: it has ended, or goes on with an attempt that is only silent.
+    Settled,
+}
+
 impl Instance {
     /// Accepts a caller's request: creates its job and claims its idempotency key or places it.
     pub(crate) fn on_request(&mut self, request: Request) {
@@ -129,38 +143,8 @@
         self.forget(id, Reason::Cancelled);
     }
 
-    /// Sets a job's timer, no later than its placement deadline while it has no running attempt.
-    pub(crate) fn set_timer(&mut self, id: RequestId, due: Time) {
-        if let Some(job) = self.jobs.get_mut(&id) {
-            self.timers.remove(&(job.due, id));
-            let end = match job.phase {
-                Phase::Running(_) => due,
-                _ => job.deadline,
-            };
-            job.due = due.min(end.max(self.now));
-            self.timers.insert((job.due, id));
-        }
-    }
-
-    /// Removes a job's timer.
-    pub(crate) fn clear_timer(&mut self, id: RequestId) {
-        if let Some(job) = self.jobs.get(&id) {
-            self.timers.remove(&(job.due, id));
-        }
-    }
-
-    /// Handles all job timers that are due.
-    pub(crate) fn tick_jobs(&mut self) {
-        while let Some((due, id)) = self.timers.first().copied() {
-            if due > self.now {
-                break;
-            }
-            self.timers.pop_first();
-            self.on_timer(id);
-        }
-    }
-
-    fn on_timer(&mut self, id: RequestId) {
+    /// Handles the timer of a job, which is due.
+    pub(crate) fn on_timer(&mut self, id: RequestId) {
         let Some(job) = self.jobs.get(&id) else {
             return;
         };
@@ -218,8 +202,12 @@
     }
 
     /// Dispatches an attempt to its granted server, unless that server may no longer take work.
-    /// Returns whether the attempt was dispatched.
-    pub(crate) fn dispatch(&mut self, id: RequestId, data_centre: &Name, grant: &Grant) -> bool {
+    pub(crate) fn dispatch(
+        &mut self,
+        id: RequestId,
+        data_centre: &Name,
+        grant: &Grant,
+    ) -> Dispatched {
         let has_copy = self
             .jobs
             .get(&id)
@@ -230,19 +218,22 @@
         } else {
             self.boot_may_take_work(data_centre, &grant.server, grant.boot)
         };
-        let eligible =
-            eligible && self.may_continue_at(id, &grant.server, grant.boot) && self.may_start(id);
+        let may_continue = self
+            .jobs
+            .get(&id)
+            .is_some_and(|job| self.may_continue_at(job, &grant.server, grant.boot));
+        let eligible = eligible && may_continue && self.may_start(id);
         if !eligible {
-            return false;
+            return Dispatched::Refused;
         }
         // Resuming from a copy of the generation's KV memory does not count as another run.
         let may_dispatch = has_copy || self.jobs.get(&id).is_some_and(Job::may_dispatch);
         if !may_dispatch {
             self.end_before_repeated_run(id, &grant.server);
-            return false;
+            return Dispatched::Settled;
         }
         let Some(job) = self.jobs.get_mut(&id) else {
-            return false;
+            return Dispatched::Settled;
         };
         let resume_from = job.take_copy_at(&grant.server);
         let rerun = job.attempts > 0 && resume_from.is_none();
@@ -256,7 +247,7 @@
         let list = self.list_position();
         let software = self.software_of(&grant.server, grant.boot);
         let Some(job) = self.jobs.get_mut(&id) else {
-            return false;
+            return Dispatched::Settled;
         };
         job.phase = Phase::Running(Running {
             attempt: grant.attempt,
@@ -297,7 +288,7 @@
         }));
         self.check_invariant(eligible, Violation::WorkAfterWithdrawal);
         self.record_started(id);
-        true
+        Dispatched::Sent
     }
 
     /// Ends a request that may have run and must not run again, in place of an attempt that would run
@@ -349,10 +340,18 @@
             .values()
             .filter(|server| server.label == label && is_of_version(server, software))
             .filter(|server| self.may_take_work(&server.data_centre, &server.name))
+            .filter(|server| self.may_continue_at(job, &server.name, self.newest_boot(server)))
             .cloned()
             .collect()
     }
 
+    /// Returns the boot of a server that its last report names, or that the list does if there is no
+    /// report.
+    pub(crate) fn newest_boot(&self, server: &ListedServer) -> wire::BootId {
+        let reported = self.baseline.loads.get(&server.name);
+        reported.map_or(server.boot, |(_, load)| load.boot)
+    }
+
     /// Returns whether a generation may resume at the server that holds its copy. A server that has
     /// just announced that it leaves is still allowed: no other server has the copy, and the
     /// leaving server stays up until its own work ends.
@@ -676,12 +675,14 @@
         job.phase = Phase::Waiting;
         job.trial_since = None;
         // The placement deadline starts anew: time spent running does not count against it.
-        let deadline = job.route.deadline();
+        let mut patience = job.route.deadline();
+        if job.required_software().is_some() {
+            patience += RELISTING_TIME;
+        }
         let request = job.request.clone();
-        let patience = match self.is_suspect(&request) {
-            true => deadline + ISOLATION_TIME,
-            false => deadline,
-        };
+        if self.is_suspect(&request) {
+            patience += ISOLATION_TIME;
+        }
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
--- a/crates/core/src/local.rs
+++ b/crates/core/src/local.rs
@@ -10,6 +10,7 @@
 use wire::RequestId;
 
 use crate::instance::Instance;
+use crate::lifecycle::Dispatched;
 use crate::lifecycle::UNREACHABLE_RETRY_AFTER;
 use crate::message::ListedServer;
 use crate::outcome::Reason;
@@ -104,7 +105,8 @@
         match best.map(|(_, server)| server.clone()) {
             Some(server) => match self.rate_limit(&server.name) {
                 Some(rate) => self.request_permit(id, &server.name, rate, all_limited),
-                None => self.dispatch_to(id, &server),
+                None if self.dispatch_to(id, &server) != Dispatched::Refused => {}
+                None => self.set_timer(id, self.now + NO_SERVER_PAUSE),
             },
             None if self.end_if_pool_is_closed(id) => {}
             None => self.set_timer(id, self.now + NO_SERVER_PAUSE),
--- a/crates/core/src/origins.rs
+++ b/crates/core/src/origins.rs
@@ -382,9 +382,8 @@
 
     /// Returns whether a job may run on a boot of a server: its stream has not begun, or has begun at
     /// the version of that boot.
-    pub(crate) fn may_continue_at(&self, id: RequestId, server: &str, boot: BootId) -> bool {
-        let required = self.jobs.get(&id).and_then(Job::required_software);
-        required.is_none_or(|required| {
+    pub(crate) fn may_continue_at(&self, job: &Job, server: &str, boot: BootId) -> bool {
+        job.required_software().is_none_or(|required| {
             !required.is_empty() && self.software_of(server, boot) == *required
         })
     }
--- a/crates/core/src/permits.rs
+++ b/crates/core/src/permits.rs
@@ -22,6 +22,7 @@
 use crate::instance::Instance;
 use crate::job::PendingPermit;
 use crate::job::Phase;
+use crate::lifecycle::Dispatched;
 
 /// Time that a keeper has to answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
@@ -215,7 +216,8 @@
         }
     }
 
-    /// Dispatches a job to the server that its permit is for. Returns whether it was dispatched.
+    /// Dispatches a job to the server that its permit is for. Returns whether nothing more is to be done
+    /// for it now.
     fn use_permit(&mut self, id: RequestId, server: &Name, is_usable: bool) -> bool {
         let listed = self.servers.get(server).cloned().filter(|_| is_usable);
         let Some(listed) = listed else {
@@ -224,9 +226,6 @@
         if !self.may_take_work(&listed.data_centre, server) {
             return false;
         }
-        self.dispatch_to(id, &listed);
-        self.jobs
-            .get(&id)
-            .is_some_and(|job| job.running().is_some())
+        self.dispatch_to(id, &listed) != Dispatched::Refused
     }
 }
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -25,6 +25,7 @@
 use crate::job::PendingReservation;
 use crate::job::Phase;
 use crate::job::Placement;
+use crate::lifecycle::Dispatched;
 use crate::origins::is_of_version;
 use crate::outcome::Reason;
 use crate::settings::Policy;
@@ -177,12 +178,7 @@
             self.on_copy_unusable(id);
             return;
         };
-        self.dispatch_to(id, &server);
-        if self
-            .jobs
-            .get(&id)
-            .is_some_and(|job| job.running().is_none())
-        {
+        if self.dispatch_to(id, &server) == Dispatched::Refused {
             self.on_copy_unusable(id);
         }
     }
@@ -506,7 +502,7 @@
         if age < GRANT_AGE_MAX && !self.waits_for_opening(id) {
             // The other reservation is withdrawn only once this grant has been dispatched.
             let other = self.other_reservation(id, kind);
-            if self.dispatch(id, &reservation.data_centre, grant) {
+            if self.dispatch(id, &reservation.data_centre, grant) == Dispatched::Sent {
                 if let Some(other) = other {
                     self.withdraw(&other);
                 }
--- a/crates/core/tests/driver/mod.rs
+++ b/crates/core/tests/driver/mod.rs
@@ -18,6 +18,7 @@
 use wigeon_core::ListEntry;
 use wigeon_core::Outcome;
 use wigeon_core::Output;
+use wigeon_core::Policy;
 use wigeon_core::Request;
 use wigeon_core::ServerReport;
 use wigeon_core::Settings;
@@ -105,12 +106,33 @@
         Driver::start(route, servers, Some(grace), true)
     }
 
+    /// Returns an instance that chooses servers by a policy of its own.
+    pub fn with_policy(route: Route, servers: &[&str], policy: Policy) -> Driver {
+        let settings = Settings {
+            policy,
+            ..Settings::example("i1", "east", 1)
+        };
+        Driver::start_with(settings, route, servers, None)
+    }
+
     fn start(route: Route, servers: &[&str], grace: Option<Duration>, strict: bool) -> Driver {
         let settings = Settings {
-            source: Source::External,
             strict,
             ..Settings::example("i1", "east", 1)
         };
+        Driver::start_with(settings, route, servers, grace)
+    }
+
+    fn start_with(
+        settings: Settings,
+        route: Route,
+        servers: &[&str],
+        grace: Option<Duration>,
+    ) -> Driver {
+        let settings = Settings {
+            source: Source::External,
+            ..settings
+        };
         let mut driver = Driver {
             instance: Instance::new(settings),
             now: START,
--- a/crates/core/tests/fleet/mod.rs
+++ b/crates/core/tests/fleet/mod.rs
@@ -32,6 +32,7 @@
 use wigeon_core::Settings;
 use wigeon_core::Source;
 use wigeon_core::message::Dispatch;
+use wigeon_core::message::Stream;
 use wigeon_core::outcome::Reason;
 use wire::AttemptId;
 use wire::Body;
@@ -63,6 +64,8 @@
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
 const FIRST_EVENT_TIME: Duration = Duration::from_millis(60);
 const EVENT_TIME: Duration = Duration::from_millis(200);
+/// Events of a tag.
+const TAG_EVENTS: u32 = 5;
 const CALL_TIME: Duration = Duration::from_millis(15);
 const LIST_PERIOD: Duration = Duration::from_millis(450);
 /// Time after which a server that a request has crashed has restarted.
@@ -90,6 +93,8 @@
 pub enum Kind {
     /// A stream of events that must not run twice.
     Letter,
+    /// A stream of events that another server may continue at the same software version.
+    Tag,
     /// A call that must not run twice.
     Mark,
     /// A call that may run more than once.
@@ -100,6 +105,7 @@
     fn route(self) -> &'static str {
         match self {
             Kind::Letter => "letters",
+            Kind::Tag => "tags",
             Kind::Mark => "marks",
             Kind::Lookup => "lookups",
         }
@@ -193,6 +199,8 @@
     pub rng: fastrand::Rng,
     /// Whether callers send requests.
     pub is_loaded: bool,
+    /// Whether the list of servers stays as it is, as their records in the store are not written.
+    pub is_list_stale: bool,
     /// Instances that neither send nor read the kinds of frames that build dd701e6 does not know.
     pub earlier: BTreeSet<usize>,
     /// Requests that crash each server that begins to run them, by all that a server is sent.
@@ -275,7 +283,15 @@
         rerun: true,
         ..marks.clone()
     };
+    let tags = Route {
+        idempotent: true,
+        rerun: true,
+        deadline_ms: 2_100,
+        timeout_ms: 4_000,
+        ..letters.clone()
+    };
     config.routes.insert("letters".into(), letters);
+    config.routes.insert("tags".into(), tags);
     config.routes.insert("marks".into(), marks);
     config.routes.insert("lookups".into(), lookups);
     config
@@ -335,6 +351,7 @@
             due: 0.0,
             rng: fastrand::Rng::with_seed(seed),
             is_loaded: false,
+            is_list_stale: false,
             earlier: BTreeSet::new(),
             crashing: BTreeSet::new(),
             crashes: Vec::new(),
@@ -521,7 +538,9 @@
             self.now = next;
             if self.now.saturating_sub(self.last_list) >= LIST_PERIOD {
                 self.last_list = self.now;
-                self.send_lists(false);
+                if !self.is_list_stale {
+                    self.send_lists(false);
+                }
             }
             let is_tick = self.now.as_millis().is_multiple_of(TICK_PERIOD.as_millis());
             for index in 0..self.instances.len() {
@@ -864,6 +883,7 @@
         }
         let events = match kind {
             Kind::Letter => self.rng.u32(2..12),
+            Kind::Tag => TAG_EVENTS,
             Kind::Mark | Kind::Lookup => 1,
         };
         let run = Run {
@@ -878,7 +898,7 @@
         };
         self.runs.insert(dispatch.attempt, run);
         let time = match kind {
-            Kind::Letter => FIRST_EVENT_TIME,
+            Kind::Letter | Kind::Tag => FIRST_EVENT_TIME,
             Kind::Mark | Kind::Lookup => CALL_TIME,
         };
         self.schedule(time, Step::Emit(dispatch.attempt));
@@ -976,7 +996,10 @@
         key: None,
         fingerprint: content.fingerprint,
         group: content.group,
-        prompt_tokens: if kind == Kind::Letter { 2_000 } else { 0 },
+        prompt_tokens: match kind {
+            Kind::Letter | Kind::Tag => 2_000,
+            Kind::Mark | Kind::Lookup => 0,
+        },
         prefixes: Vec::new(),
         // Half of the letters share a template.
         parts: if kind == Kind::Letter {
@@ -988,9 +1011,10 @@
         expected_tokens: Some(120),
         timeout: Some(Duration::from_millis(match kind {
             Kind::Letter => 30_000,
+            Kind::Tag => 6_000,
             Kind::Mark | Kind::Lookup => 1_000,
         })),
-        stream: None,
+        stream: (kind == Kind::Tag).then_some(Stream::New(content.fingerprint)),
         handed_over,
     }
 }
--- a/crates/core/tests/waiting.rs
+++ b/crates/core/tests/waiting.rs
@@ -14,6 +14,7 @@
 use wigeon_core::Event;
 use wigeon_core::Input;
 use wigeon_core::Outcome;
+use wigeon_core::Policy;
 use wigeon_core::outcome::Reason;
 
 use crate::driver::Driver;
@@ -247,3 +248,18 @@
     driver.advance(Duration::from_millis(100));
     assert!(driver.dispatch(1).is_some());
 }
+
+/// Guards against a request without a timer, whose pool a new configuration has removed.
+#[test]
+fn request_whose_pool_is_removed_ends_at_its_deadline() {
+    let mut driver = Driver::with_policy(streaming_route(), &[], Policy::RoundRobin);
+    driver.request(1);
+    assert!(driver.outcome(1).is_none());
+    let config = Config {
+        version: 6,
+        ..Config::default()
+    };
+    driver.input(Input::AdoptConfig(Arc::new(config)));
+    driver.advance(Duration::from_secs(2));
+    assert!(refusal(&driver, 1).is_some());
+}
