Relay: end a request at its deadline though the decider does not

It now ends the request 0.2 s after the deadline, logs that, and makes the decider forget it.

Before, on: request_whose_decider_stands_still_is_answered_at_its_timeout fails. After: it passes.

--- a/crates/exchange/src/relay.rs
+++ b/crates/exchange/src/relay.rs
@@ -83,6 +83,9 @@
 /// load balancer sends the caller's next connection to another instance.
 const UNREAD_RETRY_AFTER: &str = "0.02";
 
+/// Time after a request's deadline at which it ends although the decider has not ended it.
+const DECIDER_MARGIN: Duration = Duration::from_millis(200);
+
 /// The state that all relays share.
 pub struct RelayContext {
     /// The decider, which orders attempts and receives their results.
@@ -391,15 +394,28 @@
         if self.is_orphaned {
             return finish_failed(Reason::Lost);
         }
-        // Without a decider the process is shutting down.
-        let command = self.commands.recv().await;
-        command.unwrap_or_else(|| finish_failed(Reason::Lost))
+        let deadline = self.final_deadline();
+        tokio::select! {
+            biased;
+            // Without a decider the process is shutting down.
+            command = self.commands.recv() => {
+                command.unwrap_or_else(|| finish_failed(Reason::Lost))
+            }
+            () = deadline => {
+                self.report_overdue();
+                finish_failed(Reason::TimedOut)
+            }
+        }
     }
 
-    /// Waits until the deadline of a request that the decider doesn't know any more. Waits forever if it
-    /// does, or if there is no deadline.
-    fn orphan_deadline(&self) -> impl Future<Output = ()> + Send + use<> {
-        let left = self.time_left(None).filter(|_| self.is_orphaned);
+    /// Waits until the request has to end whether or not the decider ends it: at its deadline if the
+    /// decider doesn't know it any more, or else a little later. Waits forever if there is no deadline.
+    fn final_deadline(&self) -> impl Future<Output = ()> + Send + use<> {
+        let margin = match self.is_orphaned {
+            true => Duration::ZERO,
+            false => DECIDER_MARGIN,
+        };
+        let left = self.time_left_until(self.deadline.map(|deadline| deadline + margin));
         async move {
             match left {
                 Some(left) => tokio::time::sleep(left).await,
@@ -408,6 +424,24 @@
         }
     }
 
+    /// Makes the decider forget a request that ends without it.
+    fn report_overdue(&self) {
+        if self.is_orphaned {
+            return;
+        }
+        let id = self.cancel_guard.id;
+        log::error!(
+            id = self.meta.caller_request_id.as_str(),
+            request = id;
+            "relay: Request ends although the decider has not ended it."
+        );
+        let decider = self.context.decider.clone();
+        tokio::spawn(async move {
+            let input = HandleInput(Input::CallerGone(id));
+            let _ = decider.send(input).detach().await;
+        });
+    }
+
     /// Makes an attempt after the runs before have ended. Returns `None` if a command of the decider
     /// ended the attempt; the command is then pending.
     async fn attempt_until_command(&mut self, dispatch: &mut Dispatch) -> Option<AttemptResult> {
@@ -447,10 +481,11 @@
     ) -> Option<T> {
         tokio::pin!(part);
         loop {
-            let deadline = self.orphan_deadline();
+            let deadline = self.final_deadline();
             tokio::select! {
                 result = &mut part => return Some(result),
                 () = deadline => {
+                    self.report_overdue();
                     let command = finish_failed(Reason::TimedOut);
                     self.pending_commands.push_back(command);
                     return None;
--- a/crates/exchange/src/relay/attempt.rs
+++ b/crates/exchange/src/relay/attempt.rs
@@ -138,8 +138,11 @@
     /// Returns the time until an attempt must end, by the request's deadline and a limit of the
     /// attempt's own.
     pub(super) fn time_left(&self, ends_at: Option<Time>) -> Option<Duration> {
+        self.time_left_until([self.deadline, ends_at].into_iter().flatten().min())
+    }
+
+    pub(super) fn time_left_until(&self, end: Option<Time>) -> Option<Duration> {
         let now = self.context.clock.now();
-        let end = [self.deadline, ends_at].into_iter().flatten().min();
         end.map(|end| end.saturating_sub(now))
     }
 }
--- a/crates/exchange/src/relay/streaming.rs
+++ b/crates/exchange/src/relay/streaming.rs
@@ -248,11 +248,14 @@
             return;
         }
         loop {
-            let deadline = self.orphan_deadline();
+            let deadline = self.final_deadline();
             let frame = tokio::select! {
                 frame = stream.body.frame() => frame,
                 () = caller.closed() => return,
-                () = deadline => return self.time_out_body(&caller).await,
+                () = deadline => {
+                    self.report_overdue();
+                    return self.time_out_body(&caller).await;
+                }
                 command = self.commands.recv() => match command {
                     Some(RelayCommand::Orphan) => {
                         self.is_orphaned = true;
@@ -305,7 +308,7 @@
         let mut forwarding = Forwarding::new(dispatch, stream);
         loop {
             let silent_at = self.silent_at(&forwarding);
-            let deadline = self.orphan_deadline();
+            let deadline = self.final_deadline();
             let step = tokio::select! {
                 biased;
                 permit = caller.reserve(), if !forwarding.queue.is_empty() => match permit {
@@ -316,7 +319,10 @@
                     Err(_) => return,
                 },
                 () = caller.closed() => return,
-                () = deadline => Step::Abort(Reason::TimedOut.as_str()),
+                () = deadline => {
+                    self.report_overdue();
+                    Step::Abort(Reason::TimedOut.as_str())
+                }
                 command = receive(&mut self.pending_commands, &mut self.commands) => {
                     self.on_command(&mut forwarding, command)
                 }
