Connections: a status that is no final one is a broken response

Cause: the HTTP library parses 100 to 999, and nothing looked at the number. All exchanges with servers go through one function, which now takes what is not 200 to 599 for a broken response: repeated elsewhere where that is allowed, else a 502 of our own without the stamp, neither a crash nor a sound run. Weighed: to pass it on (no answer in the protocol), to translate it (the stamp would stand beside another status).

--- a/crates/exchange/src/relay.rs
+++ b/crates/exchange/src/relay.rs
@@ -524,6 +524,7 @@
             }
             AttemptResult::Withheld => (Event::Failed, "withheld"),
             AttemptResult::NoStream => (self.lost_event(false), "no-stream"),
+            AttemptResult::OddStatus => (self.lost_event(false), "odd-status"),
             AttemptResult::Lost => (self.lost_event(true), "unanswered"),
             _ => (self.lost_event(true), "broken"),
         };
--- a/crates/exchange/src/relay/attempt.rs
+++ b/crates/exchange/src/relay/attempt.rs
@@ -61,6 +61,7 @@
                 Err(ConnectionError::Unreachable | ConnectionError::Refused) => {
                     return AttemptResult::Unreachable;
                 }
+                Err(ConnectionError::OddStatus) => return AttemptResult::OddStatus,
                 Err(ConnectionError::Lost | ConnectionError::TooLong) => {
                     return AttemptResult::Lost;
                 }
--- a/crates/exchange/src/relay/response.rs
+++ b/crates/exchange/src/relay/response.rs
@@ -92,6 +92,9 @@
     /// The connection was lost before a response, or the response belongs to another request. The
     /// request may have run, and may still be on its way to the server.
     Lost,
+    /// The status of the response is none that a response may have. The server may have executed the
+    /// request, and has not crashed.
+    OddStatus,
     /// The server has begun to respond, and its response is not complete.
     Incomplete,
     /// A response that can't continue the stream that the caller has received the beginning of.
--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -85,7 +85,7 @@
     fn from(error: ConnectionError) -> BackendError {
         match error {
             ConnectionError::Unreachable | ConnectionError::Refused => BackendError::Unreachable,
-            ConnectionError::Lost => BackendError::Broken,
+            ConnectionError::Lost | ConnectionError::OddStatus => BackendError::Broken,
             ConnectionError::TooLong => BackendError::TooLong,
         }
     }
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -23,6 +23,7 @@
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::Incoming;
@@ -59,6 +60,9 @@
     Refused,
     /// The connection was lost; the server may have executed the request.
     Lost,
+    /// The status of the response is none that a response may have; the server may have executed the
+    /// request.
+    OddStatus,
     /// The response is longer than the limit; the server may have executed the request.
     TooLong,
 }
@@ -69,6 +73,7 @@
             ConnectionError::Unreachable => "no connection was established",
             ConnectionError::Refused => "the connection was refused",
             ConnectionError::Lost => "the connection was lost or the response is invalid",
+            ConnectionError::OddStatus => "the response has an odd status",
             ConnectionError::TooLong => "the response is too long",
         })
     }
@@ -172,8 +177,8 @@
 ///
 /// # Errors
 ///
-/// Returns an error if no connection is established, or if it is lost before the response's head
-/// has arrived.
+/// Returns an error if no connection is established, if it is lost before the response's head has
+/// arrived, or if the status is not that of a final response.
 pub async fn send_request(
     address: SocketAddr,
     request: Request<Full<Bytes>>,
@@ -200,10 +205,21 @@
         .await
         .map_err(|_| ConnectionError::Lost)?;
     limit.record_part();
+    if !is_final(response.status()) {
+        log::info!(server:% = address, status = response.status().as_u16(); "link: Odd status.");
+        return Err(ConnectionError::OddStatus);
+    }
     let response = response.map(|incoming| ServerBody { incoming, limit });
     Ok((guard, response))
 }
 
+/// Returns whether a status is that of a final response. Statuses of three digits beyond 599 can be parsed
+/// and are not defined (RFC 9110, section 15), and requests ask for no upgrade, to which alone 101 is
+/// the response (section 15.2.2). They come from servers in trouble, whose fields prove nothing then.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Sends a request and reads the whole response, whose body has at most `body_bytes_max` bytes.
 ///
 /// # Errors
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -103,7 +103,7 @@
         let fetched = connection::fetch(address, request, RESPONSE_BYTES_MAX).await;
         let response = fetched.map_err(|error| match error {
             ConnectionError::Unreachable | ConnectionError::Refused => Answer::Unreachable,
-            ConnectionError::Lost | ConnectionError::TooLong => {
+            ConnectionError::Lost | ConnectionError::OddStatus | ConnectionError::TooLong => {
                 log::warn!("platform: No whole response of the store: {error}.");
                 Answer::Unknown
             }
