Evidence, relay: bound updates by their beginning, and keep one timer for a stream

The relay's deadline was a new timer for each event of a stream; it is one for the stream now, set anew with a command of the decider. Its log line is bounded.

--- a/crates/core/src/evidence.rs
+++ b/crates/core/src/evidence.rs
@@ -62,6 +62,8 @@
     wait_until: Option<Time>,
     /// When the record is to be read and brought up to date, or `None` if nothing is to be done.
     due: Option<Time>,
+    /// Time before which no update begins.
+    not_before: Time,
     /// Whether a call is under way.
     is_calling: bool,
     /// Consecutive updates that failed.
@@ -100,6 +102,7 @@
 
     /// Plans an update of the record, unless an earlier one is planned.
     fn plan(&mut self, at: Time) {
+        let at = at.max(self.not_before);
         self.due = Some(self.due.map_or(at, |due| due.min(at)));
     }
 }
@@ -117,6 +120,7 @@
             return;
         }
         self.evidence.due = None;
+        self.evidence.not_before = self.now + UPDATE_INTERVAL;
         self.call_for_evidence(EvidenceCall::Read, Call::Get { key: KEY.into() });
     }
 
@@ -164,9 +168,6 @@
             }
             (EvidenceCall::Write, Answer::Swapped { revision }) => {
                 self.evidence.failures = 0;
-                if let Some(due) = &mut self.evidence.due {
-                    *due = (*due).max(self.now + UPDATE_INTERVAL);
-                }
                 let text = format!("Evidence recorded in the store at revision {revision}.");
                 self.log("suspect", false, text);
             }
--- a/crates/exchange/src/relay.rs
+++ b/crates/exchange/src/relay.rs
@@ -430,11 +430,14 @@
             return;
         }
         let id = self.cancel_guard.id;
-        log::error!(
-            id = self.meta.caller_request_id.as_str(),
-            request = id;
-            "relay: Request ends although the decider has not ended it."
-        );
+        let now = self.context.clock.now();
+        if self.context.log_limiter.allows(now, false) {
+            log::error!(
+                id = self.meta.caller_request_id.as_str(),
+                request = id;
+                "relay: Request ends although the decider has not ended it."
+            );
+        }
         let decider = self.context.decider.clone();
         tokio::spawn(async move {
             let input = HandleInput(Input::CallerGone(id));
--- a/crates/exchange/src/relay/streaming.rs
+++ b/crates/exchange/src/relay/streaming.rs
@@ -247,18 +247,20 @@
         if caller.send(Ok(prefix)).await.is_err() {
             return;
         }
+        let deadline = self.final_deadline();
+        tokio::pin!(deadline);
         loop {
-            let deadline = self.final_deadline();
             let frame = tokio::select! {
                 frame = stream.body.frame() => frame,
                 () = caller.closed() => return,
-                () = deadline => {
+                () = &mut deadline => {
                     self.report_overdue();
                     return self.time_out_body(&caller).await;
                 }
                 command = self.commands.recv() => match command {
                     Some(RelayCommand::Orphan) => {
                         self.is_orphaned = true;
+                        deadline.set(self.final_deadline());
                         continue;
                     }
                     Some(RelayCommand::Copy(..)) => continue,
@@ -306,9 +308,10 @@
         caller: mpsc::Sender<Result<Bytes, Truncated>>,
     ) {
         let mut forwarding = Forwarding::new(dispatch, stream);
+        let deadline = self.final_deadline();
+        tokio::pin!(deadline);
         loop {
             let silent_at = self.silent_at(&forwarding);
-            let deadline = self.final_deadline();
             let step = tokio::select! {
                 biased;
                 permit = caller.reserve(), if !forwarding.queue.is_empty() => match permit {
@@ -319,12 +322,14 @@
                     Err(_) => return,
                 },
                 () = caller.closed() => return,
-                () = deadline => {
+                () = &mut deadline => {
                     self.report_overdue();
                     Step::Abort(Reason::TimedOut.as_str())
                 }
                 command = receive(&mut self.pending_commands, &mut self.commands) => {
-                    self.on_command(&mut forwarding, command)
+                    let step = self.on_command(&mut forwarding, command);
+                    deadline.set(self.final_deadline());
+                    step
                 }
                 event = Replication::next(&mut self.replication) => {
                     self.on_replication_event(&forwarding.dispatch, event).await;
