--- a/crates/suspect/src/snapshot.rs
+++ b/crates/suspect/src/snapshot.rs
@@ -15,6 +15,7 @@
 
 use crate::Finding;
 use crate::Subject;
+use crate::table::RECURRENT_FINDINGS_MAX;
 
 /// Findings about the subjects under which servers have crashed repeatedly.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -87,7 +88,9 @@
         let elapsed = wall.saturating_sub(Duration::from_millis(document.written_at_ms));
         let findings = |entries: Vec<Entry>| {
             let finding = |entry: Entry| entry.into_finding(elapsed);
-            entries.into_iter().map(finding).collect()
+            // What another program has written may hold any number.
+            let entries = entries.into_iter().take(RECURRENT_FINDINGS_MAX);
+            entries.map(finding).collect()
         };
         Ok(Snapshot {
             requests: findings(document.requests),
--- a/crates/suspect/src/table.rs
+++ b/crates/suspect/src/table.rs
@@ -45,7 +45,7 @@
 /// Maximum number of crashes that are kept of one subject.
 const CRASHES_MAX: usize = 64;
 /// Maximum number of findings that [`Table::recurrent_findings`] returns.
-const RECURRENT_FINDINGS_MAX: usize = 512;
+pub(crate) const RECURRENT_FINDINGS_MAX: usize = 512;
 /// Number of times that an instance gossips each finding of a subject that is not barred.
 const GOSSIP_REPEATS: u32 = 8;
 
--- a/crates/suspect/tests/snapshot.rs
+++ b/crates/suspect/tests/snapshot.rs
@@ -142,6 +142,16 @@
     assert!(Snapshot::decode(WALL, b"\x00").is_err());
 }
 
+/// Guards against a document that takes a starting process long to judge.
+#[test]
+fn findings_of_a_document_are_bounded() {
+    let entry = r#"{"subject":7,"age_ms":5}"#;
+    let entries = vec![entry; 5_000].join(",");
+    let document = format!(r#"{{"written_at_ms":0,"parts":[{entries}]}}"#);
+    let read = Snapshot::decode(WALL, document.as_bytes()).expect("it can be decoded");
+    assert!(read.parts.len() <= 512, "{}", read.parts.len());
+}
+
 #[test]
 fn document_from_the_future_is_as_old_as_its_findings() {
     let mut table = Table::new(REQUESTS);
