--- a/crates/core/tests/evidence.rs
+++ b/crates/core/tests/evidence.rs
@@ -53,14 +53,21 @@
 /// Sends the bad request to one instance after the other until a number of servers have crashed under
 /// it.
 fn crash_servers(fleet: &mut Fleet, count: usize) {
-    for number in 0..4 * count {
-        if fleet.crashes.len() >= count {
-            return;
-        }
+    let copies = u32::try_from(4 * count).expect("it is small");
+    crash_servers_within(fleet, count, REPEAT_TIME * copies);
+    assert!(fleet.crashes.len() >= count);
+}
+
+/// Sends the bad request to one instance after the other for a time, or until so many servers have
+/// crashed under it.
+fn crash_servers_within(fleet: &mut Fleet, count: usize, time: Duration) {
+    let end = fleet.now + time;
+    let mut number = 0;
+    while fleet.now < end && fleet.crashes.len() < count {
         fleet.send_content(number % INSTANCES, Kind::Letter, BAD);
         fleet.advance(REPEAT_TIME);
+        number += 1;
     }
-    assert!(fleet.crashes.len() >= count);
 }
 
 /// Returns the runs of the bad request that began so long after the third crash that they are limited.
@@ -139,17 +146,6 @@
     }
 }
 
-/// Sends the bad request again and again, for a time or until so many servers have crashed under it.
-fn crash_servers_within(fleet: &mut Fleet, count: usize, time: Duration) {
-    let end = fleet.now + time;
-    let mut number = 0;
-    while fleet.now < end && fleet.crashes.len() < count {
-        fleet.send_content(number % INSTANCES, Kind::Letter, BAD);
-        fleet.advance(REPEAT_TIME);
-        number += 1;
-    }
-}
-
 /// Guards against forgetting a part of prompts that crashes its servers: requests with it differ.
 #[test]
 fn bar_of_a_part_outlives_the_loss_of_all_instances() {
