--- a/crates/exchange/src/relay.rs
+++ b/crates/exchange/src/relay.rs
@@ -11,6 +11,7 @@
 mod abandoned;
 mod attempt;
 mod body;
+mod deadline;
 mod earlier_run;
 mod notice;
 mod progress;
@@ -83,9 +84,6 @@
 /// load balancer sends the caller's next connection to another instance.
 const UNREAD_RETRY_AFTER: &str = "0.02";
 
-/// Time after a request's deadline at which it ends although the decider has not ended it.
-const DECIDER_MARGIN: Duration = Duration::from_millis(200);
-
 /// The state that all relays share.
 pub struct RelayContext {
     /// The decider, which orders attempts and receives their results.
@@ -408,43 +406,6 @@
         }
     }
 
-    /// Waits until the request has to end whether or not the decider ends it: at its deadline if the
-    /// decider doesn't know it any more, or else a little later. Waits forever if there is no deadline.
-    fn final_deadline(&self) -> impl Future<Output = ()> + Send + use<> {
-        let margin = match self.is_orphaned {
-            true => Duration::ZERO,
-            false => DECIDER_MARGIN,
-        };
-        let left = self.time_left_until(self.deadline.map(|deadline| deadline + margin));
-        async move {
-            match left {
-                Some(left) => tokio::time::sleep(left).await,
-                None => std::future::pending().await,
-            }
-        }
-    }
-
-    /// Makes the decider forget a request that ends without it.
-    fn report_overdue(&self) {
-        if self.is_orphaned {
-            return;
-        }
-        let id = self.cancel_guard.id;
-        let now = self.context.clock.now();
-        if self.context.log_limiter.allows(now, false) {
-            log::error!(
-                id = self.meta.caller_request_id.as_str(),
-                request = id;
-                "relay: Request ends although the decider has not ended it."
-            );
-        }
-        let decider = self.context.decider.clone();
-        tokio::spawn(async move {
-            let input = HandleInput(Input::CallerGone(id));
-            let _ = decider.send(input).detach().await;
-        });
-    }
-
     /// Makes an attempt after the runs before have ended. Returns `None` if a command of the decider
     /// ended the attempt; the command is then pending.
     async fn attempt_until_command(&mut self, dispatch: &mut Dispatch) -> Option<AttemptResult> {
--- a/crates/exchange/src/relay/attempt.rs
+++ b/crates/exchange/src/relay/attempt.rs
@@ -1,9 +1,6 @@
 //! One attempt: the request to a server or another instance, and the kind of its response.
 
-use std::time::Duration;
-
 use bytes::Bytes;
-use clock::Time;
 use conf::Delivery;
 use http_body_util::Full;
 use hyper::Request;
@@ -135,17 +132,6 @@
         };
         Some(request)
     }
-
-    /// Returns the time until an attempt must end, by the request's deadline and a limit of the
-    /// attempt's own.
-    pub(super) fn time_left(&self, ends_at: Option<Time>) -> Option<Duration> {
-        self.time_left_until([self.deadline, ends_at].into_iter().flatten().min())
-    }
-
-    pub(super) fn time_left_until(&self, end: Option<Time>) -> Option<Duration> {
-        let now = self.context.clock.now();
-        end.map(|end| end.saturating_sub(now))
-    }
 }
 
 /// Logs on what the verdict rests that a server has not run a request.
