--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -6,6 +6,7 @@
 mod common;
 mod cold;
 mod grace;
+mod moved;
 mod runner;
 mod silent;
 mod store;
@@ -50,6 +51,7 @@
     let finding = match scenario.as_str() {
         "cold" => cold::run(&place),
         "grace" => grace::run(&place),
+        "moved" => moved::run(&place),
         "silent" => silent::run(&place),
         other => Finding::NotRun(format!("no scenario {other}")),
     };
