--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -7,6 +7,7 @@
 mod cold;
 mod grace;
 mod moved;
+mod odd;
 mod runner;
 mod silent;
 mod store;
@@ -52,6 +53,7 @@
         "cold" => cold::run(&place),
         "grace" => grace::run(&place),
         "moved" => moved::run(&place),
+        "odd" => odd::run(&place),
         "silent" => silent::run(&place),
         other => Finding::NotRun(format!("no scenario {other}")),
     };
--- a/review/standin-3/runner.rs
+++ b/review/standin-3/runner.rs
@@ -63,6 +63,8 @@
     pub cold_until: f64,
     born: u64,
     is_alive: AtomicBool,
+    /// Whether it writes its entry no more.
+    is_leaving: AtomicBool,
     seq: AtomicU64,
     places: Mutex<(usize, usize)>,
     place_freed: Condvar,
@@ -89,6 +91,7 @@
             cold_until: now + cold_s,
             born: unix_ms(),
             is_alive: AtomicBool::new(true),
+            is_leaving: AtomicBool::new(false),
             seq: AtomicU64::new(0),
             places: Mutex::new((0, 0)),
             place_freed: Condvar::new(),
@@ -121,7 +124,7 @@
         std::thread::spawn(move || {
             loop {
                 std::thread::sleep(BEAT);
-                if !beating.is_alive() {
+                if !beating.is_alive() || beating.is_leaving.load(Ordering::SeqCst) {
                     return;
                 }
                 beating.write_entry();
@@ -154,6 +157,15 @@
         self.store.put(&format!("servers/{}", self.id), &entry);
     }
 
+    /// Leaves without a notice: its entry is removed, and it goes on serving. Returns when.
+    pub fn leave(&self) -> f64 {
+        self.is_leaving.store(true, Ordering::SeqCst);
+        self.store.remove(&format!("servers/{}", self.id));
+        let now = self.record.now();
+        self.record.add_at(now, format!("the entry of runner {} is removed, it goes on serving", self.id));
+        now
+    }
+
     /// Ends the process: its port closes, its connections end, its entry stays until it lapses after
     /// three beats.
     pub fn crash(self: &Arc<Runner>, why: &str) {
@@ -168,6 +180,9 @@
             let _ = connection.shutdown(Shutdown::Both);
         }
         self.place_freed.notify_all();
+        if self.is_leaving.load(Ordering::SeqCst) {
+            return;
+        }
         let lapsing = self.clone();
         std::thread::spawn(move || {
             std::thread::sleep(3 * BEAT);
