Review case 11: an entry of another writer passes for proof that a run has ended

An entry for a service that is not configured names an engine's address and a late start. A stream whose answer was lost before its first event is then sent on to another engine while the first one begins it.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -4,7 +4,7 @@
 set -uo pipefail
 cd "$(dirname "$0")/../.."
 [[ -x target/release/wigeonjunction && -x target/review-3/standin ]] || exit 2
-timeout --kill-after=5 110 target/review-3/standin grace "$PWD" "review/11/record.txt"
+timeout --kill-after=5 110 target/review-3/standin proof "$PWD" "review/11/record.txt"
 code=$?
 [[ $code -le 2 ]] || code=2
 exit $code
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -5,9 +5,10 @@
 
 mod common;
 mod cold;
+mod engine;
 mod grace;
-mod moved;
 mod odd;
+mod proof;
 mod runner;
 mod silent;
 mod store;
@@ -52,8 +53,8 @@
     let finding = match scenario.as_str() {
         "cold" => cold::run(&place),
         "grace" => grace::run(&place),
-        "moved" => moved::run(&place),
         "odd" => odd::run(&place),
+        "proof" => proof::run(&place),
         "silent" => silent::run(&place),
         other => Finding::NotRun(format!("no scenario {other}")),
     };
