--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -10,7 +10,7 @@
 mod odd;
 mod proof;
 mod runner;
-mod silent;
+mod successor;
 mod store;
 mod traffic;
 
@@ -55,7 +55,7 @@
         "grace" => grace::run(&place),
         "odd" => odd::run(&place),
         "proof" => proof::run(&place),
-        "silent" => silent::run(&place),
+        "successor" => successor::run(&place),
         other => Finding::NotRun(format!("no scenario {other}")),
     };
     if std::env::var("KEEP").is_err() {
