--- a/review/standin-3/common.rs
+++ b/review/standin-3/common.rs
@@ -16,6 +16,7 @@
 use std::process::Stdio;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::time::Duration;
 use std::time::Instant;
 use std::time::SystemTime;
@@ -393,13 +394,31 @@
     text
 }
 
+/// The processes that were started.
+static STARTED: Mutex<Vec<Arc<Mutex<Option<Child>>>>> = Mutex::new(Vec::new());
+
+fn kill(child: &Mutex<Option<Child>>) {
+    let child = child.lock().unwrap_or_else(PoisonError::into_inner).take();
+    if let Some(mut child) = child {
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+}
+
+/// Kills all processes that were started and have not been waited for.
+pub fn kill_all() {
+    for child in STARTED.lock().unwrap_or_else(PoisonError::into_inner).iter() {
+        kill(child);
+    }
+}
+
 /// One instance of the program under test, started with the command of the deploy file.
 pub struct Instance {
     pub name: String,
     pub zone: String,
     pub ip: String,
     pub settings: PathBuf,
-    child: Mutex<Option<Child>>,
+    child: Arc<Mutex<Option<Child>>>,
     log: PathBuf,
     root: PathBuf,
 }
@@ -434,7 +453,7 @@
             zone: zone.into(),
             ip: free_ip(random),
             settings: folder.join(format!("{name}.conf")),
-            child: Mutex::new(None),
+            child: Arc::default(),
             log: folder.join(format!("{name}.log")),
             root: root.into(),
         }
@@ -496,6 +515,7 @@
             .stdout(log)
             .spawn()?;
         *self.child.lock().unwrap() = Some(child);
+        STARTED.lock().unwrap().push(self.child.clone());
         Ok(())
     }
 
@@ -508,16 +528,13 @@
     pub fn signal(&self, signal: &str) {
         let pid = self.child.lock().unwrap().as_ref().map(Child::id);
         if let Some(pid) = pid {
-            let _ = Command::new("kill").arg(format!("-{signal}")).arg(pid.to_string()).status();
+            let _ = Command::new("sh").args(["-c", &format!("kill -{signal} {pid}")]).status();
         }
     }
 
     /// Kills the process and waits for its end.
     pub fn kill(&self) {
-        if let Some(mut child) = self.child.lock().unwrap().take() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
+        kill(&self.child);
     }
 
     /// Returns whether the process has ended.
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -14,6 +14,7 @@
 mod store;
 mod traffic;
 
+use std::panic::AssertUnwindSafe;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -50,7 +51,7 @@
         record: Path::new(record).into(),
         has_trouble: std::env::var("TROUBLE").as_deref() != Ok("0"),
     };
-    let finding = match scenario.as_str() {
+    let run = || match scenario.as_str() {
         "cold" => cold::run(&place),
         "grace" => grace::run(&place),
         "odd" => odd::run(&place),
@@ -58,6 +59,9 @@
         "successor" => successor::run(&place),
         other => Finding::NotRun(format!("no scenario {other}")),
     };
+    let finding = std::panic::catch_unwind(AssertUnwindSafe(run));
+    common::kill_all();
+    let finding = finding.unwrap_or_else(|_| Finding::NotRun("the stand-in panicked".into()));
     if std::env::var("KEEP").is_err() {
         let _ = std::fs::remove_dir_all(&folder);
     }
--- a/review/standin-3/successor.rs
+++ b/review/standin-3/successor.rs
@@ -22,7 +22,7 @@
 
 const ZONES: [&str; 1] = ["zone-a"];
 /// Streams a second of all clients.
-const RATE: f64 = 80.0;
+const RATE: f64 = 110.0;
 const EVENTS: u64 = 4;
 const EVENT_PAUSE: Duration = Duration::from_millis(20);
 const COLD_S: f64 = 4.0;
