TWICE: what another writer states about a server counts for nothing

Callers saw: streams that must run once were worked on by two engines together, for 1.76 s and more, while entries of another writer named the engines' addresses.

Decisions use the listed servers of configured services, chosen anew with each list and configuration. Proofs have a range of boots, up to now.

--- a/crates/core/src/coordinator.rs
+++ b/crates/core/src/coordinator.rs
@@ -214,7 +214,7 @@
         let revision = self.list_state.revision();
         let mut lines = Vec::new();
         for (name, server) in servers {
-            let known = self.servers.get(name);
+            let known = self.listed.get(name);
             let is_same_start = |known: &ListedServer| {
                 (known.boot, &known.software) == (server.boot, &server.software)
             };
@@ -233,7 +233,7 @@
             }
         }
         let gone = self
-            .servers
+            .listed
             .keys()
             .filter(|name| !servers.contains_key(*name));
         lines.extend(gone.map(|name| format!("Server {name} was removed")));
@@ -247,25 +247,39 @@
     }
 
     /// Replaces the server list.
-    pub(crate) fn install_servers(&mut self, servers: BTreeMap<Name, ListedServer>) {
-        let reclaimed: Vec<Name> = servers
-            .values()
-            .filter(|server| server.reclaimed)
-            .filter(|server| !self.servers.get(&server.name).is_some_and(|s| s.reclaimed))
-            .map(|server| server.name.clone())
-            .collect();
-        self.log_list_changes(&servers);
+    pub(crate) fn install_servers(&mut self, listed: BTreeMap<Name, ListedServer>) {
+        self.log_list_changes(&listed);
         if !self.has_server_list {
             // A coordinator can admit work as soon as its servers have reported, so they are probed
             // at once.
             self.coordinator.next_probe = self.now;
         }
         self.list_state
-            .record_removed(self.now, &self.servers, &servers);
+            .record_removed(self.now, &self.listed, &listed);
+        self.listed = listed;
+        self.has_server_list = true;
+        self.select_servers();
+    }
+
+    /// Selects the listed servers whose service is configured, after a change of either.
+    pub(crate) fn select_servers(&mut self) {
+        let pools = &self.config.follower.config().pools;
+        let labels: BTreeSet<&str> = pools.iter().map(|(name, pool)| pool.label(name)).collect();
+        let servers: BTreeMap<Name, ListedServer> = self
+            .listed
+            .iter()
+            .filter(|(_, server)| labels.contains(server.label.as_str()))
+            .map(|(name, server)| (name.clone(), server.clone()))
+            .collect();
+        let reclaimed: Vec<Name> = servers
+            .values()
+            .filter(|server| server.reclaimed)
+            .filter(|server| !self.servers.get(&server.name).is_some_and(|s| s.reclaimed))
+            .map(|server| server.name.clone())
+            .collect();
         self.list_state.record_leaving(self.now, &servers);
         self.servers = servers;
         self.list_changes += 1;
-        self.has_server_list = true;
         self.record_listed_leaving();
         self.drop_outdated_limits();
         self.refresh_coordinators();
--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 
 use admit::Decision;
@@ -104,6 +105,9 @@
     pub(crate) skew: Skew,
     pub(crate) next_membership_tick: Time,
     /// The current list of backend servers, by name.
+    pub(crate) listed: BTreeMap<Name, ListedServer>,
+    /// The listed servers whose service is configured, by name. Another entry may be that of another
+    /// writer, and states nothing about the server that it names.
     pub(crate) servers: BTreeMap<Name, ListedServer>,
     /// Whether a list of backend servers has been received.
     pub(crate) has_server_list: bool,
@@ -165,6 +169,7 @@
             members: Membership::new(own.clone(), rng.u64(..)),
             skew: Skew::default(),
             next_membership_tick: Time::ZERO,
+            listed: BTreeMap::new(),
             servers: BTreeMap::new(),
             has_server_list: false,
             list_state: ListState::default(),
@@ -292,13 +297,18 @@
         self.settings.entry.id
     }
 
-    /// Returns whether the list of backend servers shows that the boots of a server up to a given one have
-    /// ended: a process that was started later has its name or its address. A process that is not listed
-    /// may run all the same, for example without a path to the store.
-    pub fn is_replaced(&self, server: &str, last_boot: BootId, address: SocketAddr) -> bool {
+    /// Returns whether the list of backend servers shows that the earlier processes of a server have ended:
+    /// a process of a configured service with one of the later boots has its name or its address. A process
+    /// that is not listed may run all the same, for example without a path to the store.
+    pub fn is_replaced(
+        &self,
+        server: &str,
+        address: SocketAddr,
+        later_boots: &RangeInclusive<BootId>,
+    ) -> bool {
         // A store that was restored may list processes that had ended before.
-        let is_later = |other: &ListedServer| last_boot != 0 && other.boot > last_boot;
-        let mut servers = self.servers.values().filter(|other| is_later(other));
+        let is_later = |other: &&ListedServer| later_boots.contains(&other.boot);
+        let mut servers = self.servers.values().filter(is_later);
         servers.any(|other| other.name == server || other.address == address)
     }
 
@@ -412,7 +422,7 @@
         self.log("config", false, text);
         self.record_route_labels(&config);
         self.out.push(Output::Config(config));
-        self.refresh_coordinators();
+        self.select_servers();
         self.push_changes(before);
     }
 
--- a/crates/core/src/listing.rs
+++ b/crates/core/src/listing.rs
@@ -230,9 +230,9 @@
         }
     }
 
-    /// Returns the servers of the current list.
+    /// Returns the servers of the current list, including those of services that are not configured.
     pub fn servers(&self) -> impl Iterator<Item = &ListedServer> {
-        self.servers.values()
+        self.listed.values()
     }
 
     /// Installs a list that this instance has read in the store by a call that began at a given time,
@@ -261,7 +261,7 @@
         // A kept server that the store lists again is sent, since receivers have it marked as kept.
         let is_back = |name: &Name| self.list_state.kept.contains(name) && !kept.contains(name);
         let is_changed = |server: &&ListedServer| {
-            self.servers.get(&server.name) != Some(*server) || is_back(&server.name)
+            self.listed.get(&server.name) != Some(*server) || is_back(&server.name)
         };
         let changed = servers
             .values()
@@ -269,7 +269,7 @@
             .cloned()
             .collect();
         let removed = self
-            .servers
+            .listed
             .keys()
             .filter(|name| !servers.contains_key(*name))
             .cloned()
@@ -341,7 +341,7 @@
         if self.now >= self.list_state.grace_until {
             return kept;
         }
-        for (name, server) in &self.servers {
+        for (name, server) in &self.listed {
             if !servers.contains_key(name) {
                 servers.insert(name.clone(), server.clone());
                 kept.insert(name.clone());
@@ -357,7 +357,7 @@
             return;
         }
         let kept = std::mem::take(&mut self.list_state.kept);
-        let mut servers = self.servers.clone();
+        let mut servers = self.listed.clone();
         servers.retain(|name, _| !kept.contains(name));
         self.install_servers(servers);
     }
@@ -446,7 +446,7 @@
         let (mut servers, mut kept) = match update.base_revision {
             0 => (BTreeMap::new(), BTreeSet::new()),
             _ => (
-                self.servers.clone(),
+                self.listed.clone(),
                 std::mem::take(&mut self.list_state.kept),
             ),
         };
@@ -463,12 +463,12 @@
         }
         kept.extend(update.kept);
         let is_in_grace = self.now < self.list_state.grace_until;
-        let may_keep = |name: &Name| !self.has_server_list || self.servers.contains_key(name);
+        let may_keep = |name: &Name| !self.has_server_list || self.listed.contains_key(name);
         servers.retain(|name, _| !kept.contains(name) || (is_in_grace && may_keep(name)));
         kept.retain(|name| servers.contains_key(name));
         self.list_state.kept = kept;
         let is_restored = self.record_list_update(from, update.era, update.revision);
-        if has_changes && (servers != self.servers || !self.has_server_list) {
+        if has_changes && (servers != self.listed || !self.has_server_list) {
             self.install_servers(servers);
         }
         self.record_listed_software(self.now.saturating_sub(age));
@@ -486,7 +486,7 @@
             era: self.list_state.era,
             base_revision: 0,
             revision: self.list_state.revision,
-            servers: self.servers.values().cloned().collect(),
+            servers: self.listed.values().cloned().collect(),
             removed: Vec::new(),
             kept: self.list_state.kept.iter().cloned().collect(),
             grace_ms: self.list_state.grace_ms(self.now),
--- a/crates/core/src/origins.rs
+++ b/crates/core/src/origins.rs
@@ -360,7 +360,7 @@
     /// Records the software versions that the current list shows, which was read at a given time or
     /// later.
     pub(crate) fn record_listed_software(&mut self, read_at: Time) {
-        let servers = self.servers.values();
+        let servers = self.listed.values();
         let versions = servers.map(|server| (&server.label, &server.software));
         let reading = Reading {
             handled_at: self.now,
--- a/crates/exchange/src/relay/stop.rs
+++ b/crates/exchange/src/relay/stop.rs
@@ -8,7 +8,6 @@
 
 use clock::Time;
 use compact_str::CompactString;
-use gateway::decider::Decider;
 use gateway::decider::FindSuccessor;
 use gateway::partition::Partition;
 use hyper::StatusCode;
@@ -16,7 +15,6 @@
 use tokio::time::Instant;
 use wigeon_core::Handle;
 use wire::BootId;
-use xtra::Address;
 
 use super::Relay;
 use super::RelayContext;
@@ -225,12 +223,9 @@
             in_use,
             ends_at: time_left.map(|left| Instant::now() + left),
             partition: self.context.partition.clone(),
-            process: FindSuccessor {
-                server: target.server.clone(),
-                after: self.last_boot_before(target),
-                address: target.address,
-            },
-            decider: self.context.decider.clone(),
+            server: target.server.clone(),
+            last_boot: self.last_boot_before(target),
+            context: self.context.clone(),
             notices: NoticeReporter::new(&self.context, target.server.clone(), target.boot),
         };
         let late = LateEnd {
@@ -334,9 +329,11 @@
     /// When the request counts as ended, or `None` if it has no deadline and an attempt may wait.
     ends_at: Option<Instant>,
     partition: Arc<Partition>,
-    /// The process that runs the request.
-    process: FindSuccessor,
-    decider: Address<Decider>,
+    /// Name of the server that runs the request.
+    server: wire::Name,
+    /// The last boot of that server that may run it, or zero if none is known.
+    last_boot: BootId,
+    context: Arc<RelayContext>,
     notices: NoticeReporter,
 }
 
@@ -417,11 +414,19 @@
 
     /// Returns whether another process has taken the place of the server's.
     async fn is_replaced(&self) -> bool {
+        if self.last_boot == 0 {
+            return false;
+        }
+        // An entry that names a start in the future is not that of a process.
+        let last_start = millis(self.context.clock.wall() + CLOCK_SKEW_MAX);
+        let process = FindSuccessor {
+            server: self.server.clone(),
+            address: self.address,
+            later_boots: self.last_boot.saturating_add(1)..=last_start,
+        };
         // A decider that has stopped, or stands still, knows nothing.
-        let asking = tokio::time::timeout(
-            BACKGROUND_PAUSE_MAX,
-            self.decider.send(self.process.clone()),
-        );
+        let decider = &self.context.decider;
+        let asking = tokio::time::timeout(BACKGROUND_PAUSE_MAX, decider.send(process));
         matches!(asking.await, Ok(Ok(true)))
     }
 
--- a/crates/gateway/src/decider.rs
+++ b/crates/gateway/src/decider.rs
@@ -5,6 +5,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -375,14 +376,14 @@
 
 /// Looks up whether the list of backend servers shows that the process has ended which a request had
 /// reached.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct FindSuccessor {
     /// Name of the server.
     pub server: Name,
-    /// The last boot of the server that may be meant, or zero if none is known.
-    pub after: BootId,
     /// Address of the server.
     pub address: SocketAddr,
+    /// The boots that a process can have which was started after the request had reached the server.
+    pub later_boots: RangeInclusive<BootId>,
 }
 
 impl Handler<FindSuccessor> for Decider {
@@ -391,10 +392,10 @@
     async fn handle(&mut self, process: FindSuccessor, _: &mut Context<Decider>) -> bool {
         let FindSuccessor {
             server,
-            after,
             address,
+            later_boots,
         } = process;
-        self.instance.is_replaced(&server, after, address)
+        self.instance.is_replaced(&server, address, &later_boots)
     }
 }
 
