BUDGET: the instances have parts of one retry budget

By reading, resumes from copies were not paid at all.

An instance has an equal part of the slack, among all that are known or were within an hour, as a token bucket that requests fill. It begins empty, unless the whole system starts for the first time, and gets its part after a window. Parts add up to less than the whole in any window, without a message. Whatever is sent beyond the first arrival of a request is paid; an unpaid attempt breaks an invariant. A quarter is kept for streams that have begun.

Tests that failed before: all_instances_together_stay_within_the_budget ("196 of 154 repeats" at seven instances).

Ruled out on the way: hand-overs that are paid after each refusal of a peer starve cut instances (163 of 455 served); such a refusal states now that no server got the request.

--- a/crates/core/src/copies.rs
+++ b/crates/core/src/copies.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use conf::Name;
+use route::retry::Weight;
 use wire::AttemptId;
 use wire::Body;
 use wire::InstanceId;
@@ -89,6 +90,17 @@
         let Some(data_centre) = data_centre else {
             return false;
         };
+        // The silent attempt may go on, so that another one only saves time.
+        let weight = match job.silent {
+            Some(_) => Weight::Light,
+            None => Weight::Heavy,
+        };
+        if !self.pay_for_retry(id, weight) {
+            return false;
+        }
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return false;
+        };
         // A silent attempt goes on if the copy can't be used.
         let ended = job.running().filter(|_| job.silent.is_none());
         if let Some(attempt) = ended.map(|running| running.attempt) {
--- a/crates/core/src/hand_over.rs
+++ b/crates/core/src/hand_over.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use clock::Time;
+use route::retry::Weight;
 use wire::InstanceId;
 use wire::Name;
 use wire::RequestId;
@@ -17,6 +18,7 @@
 use crate::instance::Instance;
 use crate::job::Phase;
 use crate::job::Running;
+use crate::lifecycle::NO_BUDGET_RETRY_AFTER;
 use crate::lifecycle::UNREACHABLE_RETRY_AFTER;
 use crate::message::Dispatch;
 use crate::message::Event;
@@ -98,6 +100,10 @@
             }
             return !is_first;
         };
+        if !self.pay_for_retry(id, Weight::Heavy) {
+            self.end(id, Reason::RetriesSpent, Some(NO_BUDGET_RETRY_AFTER));
+            return true;
+        }
         self.withdraw_all(id);
         let attempt = self.rng.u64(1..);
         let list = self.list_position();
@@ -109,6 +115,7 @@
             "Request {id} is handed over to {} in {} (hand-over {}, {} unreachable attempts).",
             peer.name, peer.data_centre, job.hand_overs, job.unreachable_attempts
         );
+        job.record_arrival();
         job.record_dispatch();
         job.phase = Phase::Running(Running {
             attempt,
@@ -170,6 +177,8 @@
                 self.hand_overs.closed_peers.insert(peer, until);
                 if let Some(job) = self.jobs.get_mut(&id) {
                     job.record_not_run();
+                    // Nor has it reached a server there.
+                    job.record_no_arrival();
                 }
                 self.hand_over(id);
             }
--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -16,7 +16,6 @@
 use member::skew::Skew;
 use reconcile::Reconciler;
 use route::health::Health;
-use route::retry::Budget;
 use slo::Meter;
 use store::Ticket;
 use wire::AttemptId;
@@ -48,6 +47,7 @@
 use crate::permits::Permits;
 use crate::placement::ServerCounts;
 use crate::reach::Reach;
+use crate::retries::RetryBudgets;
 use crate::settings::Settings;
 use crate::shutdown::Shutdown;
 use crate::suspects::SuspectRequests;
@@ -65,6 +65,8 @@
     ConfigReverted,
     /// A request that has not ended was left without a timer.
     MissingTimer,
+    /// An attempt was sent without the retry budget's consent.
+    UnpaidRetry,
 }
 
 impl Violation {
@@ -76,6 +78,7 @@
             Violation::EndedTwice => "ended-twice",
             Violation::ConfigReverted => "config-reverted",
             Violation::MissingTimer => "missing-timer",
+            Violation::UnpaidRetry => "unpaid-retry",
         }
     }
 }
@@ -132,8 +135,7 @@
     /// When jobs without a timer are searched for next.
     pub(crate) next_timer_search: Time,
     pub(crate) coordinator: Coordinator,
-    /// Retry budgets by pool.
-    pub(crate) retry_budgets: BTreeMap<Name, Budget>,
+    pub(crate) retry_budgets: RetryBudgets,
     pub(crate) length_estimator: Estimator,
     pub(crate) ledger: Ledger,
     pub(crate) settlements: Settlements,
@@ -188,7 +190,7 @@
             timers: BTreeSet::new(),
             next_timer_search: Time::ZERO,
             coordinator: Coordinator::default(),
-            retry_budgets: BTreeMap::new(),
+            retry_budgets: RetryBudgets::new(settings.retries, settings.is_first_start),
             length_estimator: Estimator::default(),
             ledger: Ledger::new(settings.shards),
             settlements: Settlements::default(),
@@ -246,6 +248,7 @@
             Input::ServerListRead(list, asked_at) => self.on_server_list_read(list, asked_at),
             Input::AdoptConfig(config) => self.on_adopt_config(&config),
             Input::ConfigReadProgress => self.on_config_read_progress(),
+            Input::RetryLimits(limits) => self.on_retry_limits(limits),
             Input::Command(command) => self.on_command(command),
             Input::Leave(grace) => self.on_leave(grace),
             Input::Stop => self.on_stop(),
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -175,6 +175,10 @@
     pub unreachable_attempts: u32,
     /// Whether the server of the last attempt could not be reached.
     pub last_unreachable: bool,
+    /// Attempts that may have reached a server, including resumed ones.
+    pub arrivals: u32,
+    /// Whether the next attempt has been paid for from the retry budget.
+    pub retry_paid: bool,
     /// Number of other instances to which the request was handed over.
     pub hand_overs: u32,
     /// Attempts dispatched so far, including resumed ones.
@@ -218,6 +222,8 @@
             retries: 0,
             unreachable_attempts: 0,
             last_unreachable: false,
+            arrivals: 0,
+            retry_paid: false,
             hand_overs: 0,
             attempts: 0,
             trial_since: None,
@@ -236,6 +242,23 @@
         self.possible_runs > 0
     }
 
+    /// Returns whether the next attempt is the first to reach a server, or has been paid for.
+    pub fn is_next_attempt_paid(&self) -> bool {
+        self.arrivals == 0 || self.retry_paid
+    }
+
+    /// Records that an attempt is sent.
+    pub fn record_arrival(&mut self) {
+        self.arrivals += 1;
+        self.retry_paid = false;
+    }
+
+    /// Records that the last attempt was not sent. If it was a retry, the next one is paid for.
+    pub fn record_no_arrival(&mut self) {
+        self.arrivals = self.arrivals.saturating_sub(1);
+        self.retry_paid = self.arrivals > 0;
+    }
+
     /// Returns the number of output tokens that the caller has received.
     pub fn delivered(&self) -> u32 {
         self.delivered
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -91,6 +91,7 @@
 mod placement;
 mod reach;
 mod reports;
+mod retries;
 pub mod settings;
 pub mod shutdown;
 mod silence;
--- a/crates/core/src/lifecycle.rs
+++ b/crates/core/src/lifecycle.rs
@@ -4,6 +4,7 @@
 
 use conf::Delivery;
 use conf::Pool;
+use route::retry::Weight;
 use slo::Sample;
 use wire::AttemptId;
 use wire::Name;
@@ -39,7 +40,7 @@
 /// Retry-after of a request whose servers could not be reached.
 pub(crate) const UNREACHABLE_RETRY_AFTER: Duration = Duration::from_millis(1_000);
 /// Retry-after of a request that ends because its pool's retry budget is exhausted.
-const NO_BUDGET_RETRY_AFTER: Duration = Duration::from_millis(500);
+pub(crate) const NO_BUDGET_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Unreachable attempts after which a request is refused. Each attempt costs the time of a failed
 /// connection.
 const UNREACHABLE_ATTEMPTS_MAX: u32 = 4;
@@ -94,10 +95,10 @@
         route.pool = route.pool_for(self.rng.f64()).clone();
         let rank = self.config().organisations.get(organisation);
         route.rank = rank.and_then(|found| found.rank).or(route.rank);
-        self.retry_budgets
-            .entry(route.pool.clone())
-            .or_default()
-            .earn();
+        // The instance that has handed the request over has counted it.
+        if !request.handed_over {
+            self.earn_retries(&route.pool);
+        }
         self.jobs.insert(id, Job::new(self.now, request, route));
         if !self.waits_for_evidence(id) {
             self.admit(id);
@@ -232,9 +233,12 @@
             self.end_before_repeated_run(id, &grant.server);
             return Dispatched::Settled;
         }
+        let is_paid = self.jobs[&id].is_next_attempt_paid();
+        self.check_invariant(is_paid, Violation::UnpaidRetry);
         let Some(job) = self.jobs.get_mut(&id) else {
             return Dispatched::Settled;
         };
+        job.record_arrival();
         let resume_from = job.take_copy_at(&grant.server);
         let rerun = job.attempts > 0 && resume_from.is_none();
         if resume_from.is_some() {
@@ -397,6 +401,10 @@
         if self.on_peer_event(id, &event) {
             return;
         }
+        let is_sent = !matches!(event, Event::Unreachable | Event::Postponed { .. });
+        if let Some(job) = self.jobs.get_mut(&id).filter(|_| !is_sent && !is_silent) {
+            job.record_no_arrival();
+        }
         if !is_silent {
             self.record_path(id, &event);
         }
@@ -567,7 +575,6 @@
             return;
         }
         job.record_not_run();
-        // Nothing was sent, so the next attempt spends no retry budget.
         job.last_unreachable = true;
         self.wait_for_retry(id, POSTPONED_PAUSE);
     }
@@ -703,20 +710,15 @@
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
-        let pool = job.route.pool.clone();
-        // An unreachable server received nothing, so trying another one adds no load to the pool
-        // and spends no retry budget.
-        if std::mem::take(&mut job.last_unreachable) {
-            if job.unreachable_attempts >= UNREACHABLE_ATTEMPTS_MAX
-                && self.settings.source == Source::External
-            {
-                self.end(id, Reason::NoServer, Some(UNREACHABLE_RETRY_AFTER));
-            } else {
-                self.start_placement(id);
-            }
+        let was_unreachable = std::mem::take(&mut job.last_unreachable);
+        if was_unreachable
+            && job.unreachable_attempts >= UNREACHABLE_ATTEMPTS_MAX
+            && self.settings.source == Source::External
+        {
+            self.end(id, Reason::NoServer, Some(UNREACHABLE_RETRY_AFTER));
             return;
         }
-        if !self.retry_budgets.entry(pool).or_default().spend() {
+        if !self.pay_for_retry(id, self.retry_weight(id)) {
             if self.settings.source == Source::External {
                 self.end(id, Reason::RetriesSpent, Some(NO_BUDGET_RETRY_AFTER));
                 return;
@@ -724,12 +726,22 @@
             self.set_timer(id, self.now + RETRY_BUDGET_PAUSE);
             return;
         }
-        if let Some(job) = self.jobs.get_mut(&id) {
+        if let Some(job) = self.jobs.get_mut(&id).filter(|_| !was_unreachable) {
             job.retries += 1;
         }
         self.start_placement(id);
     }
 
+    /// Returns how much depends on another attempt of a job. Only streams have parts of their answers
+    /// that could be lost, so calls leave nothing to them.
+    fn retry_weight(&self, id: RequestId) -> Weight {
+        let job = &self.jobs[&id];
+        match job.route.delivery {
+            Delivery::Stream if job.delivered() == 0 => Weight::Light,
+            _ => Weight::Heavy,
+        }
+    }
+
     /// Moves requests off a server that the platform is about to reclaim, by retrying them
     /// elsewhere. Only idempotent requests are moved, whose answers are delivered whole and have
     /// not been delivered yet.
@@ -775,6 +787,14 @@
             self.check_invariant(false, Violation::EndedTwice);
             return;
         };
+        // The instance that handed a request over takes these reasons for proof that no server got it.
+        let is_passed_on = matches!(reason, Reason::NoServer | Reason::Leaving);
+        let reason = match reason {
+            _ if job.request.handed_over && job.arrivals > 0 && is_passed_on => {
+                Reason::RetriesSpent
+            }
+            reason => reason,
+        };
         let mut outcome = Outcome::of_unserved(job, reason, retry_after);
         if matches!(reason, Reason::KeyInUse | Reason::KeyUnknown) {
             // This request did not run, but an earlier one with the same key did or may have, so
@@ -819,6 +839,7 @@
     }
 
     fn remove(&mut self, id: RequestId) {
+        self.refund_retry(id);
         self.drop_silent(id, End::Cancelled);
         self.clear_timer(id);
         self.jobs.remove(&id);
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -6,6 +6,7 @@
 
 use clock::Time;
 use conf::Config;
+use route::retry::Limits;
 use wire::AttemptId;
 use wire::BootId;
 use wire::Fingerprint;
@@ -271,6 +272,8 @@
     ServerListRead(ServerListUpdate, Time),
     /// A complete configuration, where it is kept outside the system.
     AdoptConfig(Arc<Config>),
+    /// The limits of the retry budgets have changed.
+    RetryLimits(Limits),
     /// More bytes of a configuration that the shell reads have arrived.
     ConfigReadProgress,
     /// An operator's command.
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -75,6 +75,10 @@
     pub source: Source,
     /// Time between two load probes of a server by its coordinator.
     pub probe_period: Duration,
+    /// Limits of the retry budgets, over all instances.
+    pub retries: route::retry::Limits,
+    /// Whether no process has run before in this deployment.
+    pub is_first_start: bool,
 }
 
 /// Default of [`Settings::probe_period`]. Engine reports lag by some 100 ms, so probing more often
@@ -115,6 +119,8 @@
             strict: true,
             source: Source::Store,
             probe_period: PROBE_PERIOD_DEFAULT,
+            retries: route::retry::Limits::default(),
+            is_first_start: true,
         }
     }
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -267,6 +267,8 @@
             ..store::Limits::default()
         },
         strikes: wigeon_core::settings::STRIKES_DEFAULT,
+        retries: route::retry::Limits::default(),
+        is_first_start: true,
         strict: false,
         source: wigeon_core::Source::Store,
         probe_period: wigeon_core::settings::PROBE_PERIOD_DEFAULT,
--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -190,6 +190,11 @@
         self.listed = listed;
     }
 
+    /// Returns the names of the instances that the platform lists.
+    pub fn listed_names(&self) -> impl Iterator<Item = &Name> {
+        self.listed.iter().map(|listed| &listed.name)
+    }
+
     /// Returns the entry of an instance, or `None` if the instance is not known.
     pub fn entry(&self, id: InstanceId) -> Option<&Entry> {
         if id == self.own.entry.id {
