BUDGET: copies of silent streams are paid like those of lost ones

Callers of streams whose server falls silent in a cut lose them as well if the copy waits for a budget, so the weight is the same, and such a retry may be borrowed.

--- a/crates/core/src/copies.rs
+++ b/crates/core/src/copies.rs
@@ -84,23 +84,11 @@
         let Some(copy) = job.running().and_then(|running| running.replica.clone()) else {
             return false;
         };
-        let data_centre = self
-            .servers
-            .get(&copy.endpoint.server)
-            .map(|s| s.data_centre.clone());
-        let Some(data_centre) = data_centre else {
-            return false;
-        };
-        // The silent attempt may go on, so that another one only saves time.
-        let is_silent = job.silent.is_some();
-        if is_silent && !self.pay_for_retry(id, Weight::Light) {
+        if !self.servers.contains_key(&copy.endpoint.server) {
             return false;
         }
-        let Some(job) = self.jobs.get_mut(&id) else {
-            return false;
-        };
         // A silent attempt goes on if the copy can't be used.
-        let ended = job.running().filter(|_| !is_silent);
+        let ended = job.running().filter(|_| job.silent.is_none());
         if let Some(attempt) = ended.map(|running| running.attempt) {
             self.attempt_requests.remove(&attempt);
         }
@@ -110,10 +98,8 @@
         job.resume_from = Some(copy);
         // The placement deadline of the first attempt has usually passed by now.
         job.deadline = job.hard_deadline.unwrap_or(self.now + job.route.deadline());
-        match is_silent {
-            true => self.reserve_at_copy(id, &data_centre),
-            false => self.resume(id),
-        }
+        job.loans_asked = 0;
+        self.resume(id);
         true
     }
 
